--- /dev/null
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
@@ -0,0 +1,12 @@
+package org.bilberrycart.daemon
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.main
+
+/** The command line of bilberrycart; each subcommand is a class of its own. */
+class Bilberrycart : CliktCommand(name = "bilberrycart") {
+    override fun run() = Unit
+}
+
+/** Runs the command line. */
+fun main(args: Array<String>) = Bilberrycart().main(args)
--- /dev/null
+++ b/library/src/main/kotlin/org/bilberrycart/model/AttemptId.kt
@@ -0,0 +1,27 @@
+package org.bilberrycart.model
+
+import kotlinx.serialization.Serializable
+
+/**
+ * One dispatch of a request to one upstream.
+ *
+ * @property epoch the owner's epoch of the generation; it rises by one at each takeover.
+ * @property number the number of the attempt within its epoch, from 1.
+ */
+@Serializable
+public data class AttemptId(val request: RequestId, val epoch: Int, val number: Int) {
+    override fun toString(): String = "$request.$epoch.$number"
+
+    public companion object {
+        /** Parses the form that [toString] gives; returns null if [text] is not of that form. */
+        public fun parse(text: String): AttemptId? {
+            val parts = text.split('.')
+            if (parts.size != PART_COUNT) return null
+            val epoch = parts[1].toIntOrNull() ?: return null
+            val number = parts[2].toIntOrNull() ?: return null
+            return AttemptId(RequestId(parts[0]), epoch, number)
+        }
+
+        private const val PART_COUNT = 3
+    }
+}
--- /dev/null
+++ b/library/src/main/kotlin/org/bilberrycart/pipeline/Ring.kt
@@ -0,0 +1,113 @@
+package org.bilberrycart.pipeline
+
+import java.util.concurrent.locks.Condition
+import java.util.concurrent.locks.ReentrantLock
+import kotlin.concurrent.withLock
+import kotlin.time.Duration
+
+/**
+ * A bounded first-in first-out queue between two duties.
+ *
+ * A consumer that finds it empty parks, and a producer that calls [put] on a full ring parks, both
+ * on a condition, so that no thread spins. [offer] refuses instead of waiting. Nothing is dropped:
+ * every item is accepted or refused, and [stats] counts both.
+ *
+ * @property name the name that metrics and invariants report.
+ * @property capacity the largest number of items held.
+ */
+public class Ring<T : Any>(public val name: String, public val capacity: Int) {
+    private val lock = ReentrantLock()
+    private val notEmpty: Condition = lock.newCondition()
+    private val notFull: Condition = lock.newCondition()
+    private val slots = arrayOfNulls<Any>(capacity)
+    private var head = 0
+    private var size = 0
+    private var closed = false
+    private var accepted = 0L
+    private var refused = 0L
+    private var taken = 0L
+
+    init {
+        require(capacity > 0) { "capacity of ring $name must be positive, got $capacity" }
+    }
+
+    /** Adds [item] if there is room; returns false, counting a refusal, if full or closed. */
+    public fun offer(item: T): Boolean = lock.withLock {
+        if (closed || size == capacity) {
+            refused++
+            false
+        } else {
+            add(item)
+        }
+    }
+
+    /** Adds [item], waiting while the ring is full; returns false if it is or becomes closed. */
+    public fun put(item: T): Boolean = lock.withLock {
+        while (!closed && size == capacity) notFull.await()
+        if (closed) {
+            refused++
+            false
+        } else {
+            add(item)
+        }
+    }
+
+    /**
+     * Takes all items held, at most [limit], waiting up to [wait] for the first one.
+     *
+     * Returns an empty list when the wait ends without an item or the ring is closed and empty.
+     */
+    public fun takeAll(limit: Int = capacity, wait: Duration = Duration.INFINITE): List<T> =
+        lock.withLock {
+            awaitItem(wait)
+            val count = minOf(size, limit)
+            val items = List(count) { removeFirst() }
+            if (count > 0) notFull.signalAll()
+            items
+        }
+
+    /** Closes the ring: later items are refused, held ones can still be taken, waiters wake. */
+    public fun close(): Unit = lock.withLock {
+        closed = true
+        notEmpty.signalAll()
+        notFull.signalAll()
+    }
+
+    /** Returns whether the ring is closed and holds nothing. */
+    public fun isDone(): Boolean = lock.withLock { closed && size == 0 }
+
+    /** Returns a consistent snapshot of the counters. */
+    public fun stats(): RingStats = lock.withLock {
+        RingStats(
+            name,
+            capacity,
+            accepted = accepted,
+            taken = taken,
+            refused = refused,
+            held = size,
+        )
+    }
+
+    private fun add(item: T): Boolean {
+        slots[(head + size) % capacity] = item
+        size++
+        accepted++
+        notEmpty.signal()
+        return true
+    }
+
+    @Suppress("UNCHECKED_CAST")
+    private fun removeFirst(): T {
+        val item = slots[head] as T
+        slots[head] = null
+        head = (head + 1) % capacity
+        size--
+        taken++
+        return item
+    }
+
+    private fun awaitItem(wait: Duration) {
+        var left = wait.inWholeNanoseconds
+        while (size == 0 && !closed && left > 0) left = notEmpty.awaitNanos(left)
+    }
+}
--- /dev/null
+++ b/library/src/main/kotlin/org/bilberrycart/release/CallerId.kt
@@ -0,0 +1,5 @@
+package org.bilberrycart.release
+
+/** One open connection of a caller on this node. */
+@JvmInline
+public value class CallerId(public val value: Long)
--- /dev/null
+++ b/library/src/main/kotlin/org/bilberrycart/routing/RoutingAction.kt
@@ -0,0 +1,20 @@
+package org.bilberrycart.routing
+
+import org.bilberrycart.model.AttemptId
+import org.bilberrycart.model.Placement
+import org.bilberrycart.model.Request
+import org.bilberrycart.model.ResultCode
+import org.bilberrycart.model.Upstream
+
+/** What the routing duty asks for. */
+public sealed class RoutingAction {
+    /** Send [placement] to [upstream]. */
+    public data class Dispatch(val placement: Placement, val upstream: Upstream) : RoutingAction()
+
+    /** No upstream can take the attempt. */
+    public data class Unplaceable(
+        val attempt: AttemptId,
+        val request: Request,
+        val code: ResultCode,
+    ) : RoutingAction()
+}
--- /dev/null
+++ b/library/src/main/kotlin/org/bilberrycart/routing/RoutingEvent.kt
@@ -0,0 +1,32 @@
+package org.bilberrycart.routing
+
+import org.bilberrycart.model.AttemptId
+import org.bilberrycart.model.AttemptOutcome
+import org.bilberrycart.model.Placement
+import org.bilberrycart.model.Upstream
+import org.bilberrycart.model.UpstreamId
+
+/** What the routing duty reacts to. */
+public sealed class RoutingEvent {
+    /** [placement] needs an upstream: a new request, or one that lost its upstream. */
+    public data class Place(val placement: Placement) : RoutingEvent()
+
+    /** An attempt on [upstream] is over. */
+    public data class AttemptEnded(
+        val attempt: AttemptId,
+        val upstream: UpstreamId,
+        val outcome: AttemptOutcome,
+    ) : RoutingEvent()
+
+    /** [upstream] reported its load, late as always. */
+    public data class LoadReported(val upstream: UpstreamId, val load: LoadReport) : RoutingEvent()
+
+    /** The upstreams that the configuration in force declares. */
+    public data class Configured(val upstreams: List<Upstream>) : RoutingEvent()
+
+    /** [upstream] takes no new work until it is back with a higher [incarnation]. */
+    public data class Leaving(val upstream: UpstreamId, val incarnation: Long) : RoutingEvent()
+
+    /** Time has passed. */
+    public data object Tick : RoutingEvent()
+}
