--- /dev/null
+++ b/library/src/main/kotlin/org/bilberrycart/dispatch/CallExchange.kt
@@ -0,0 +1,44 @@
+package org.bilberrycart.dispatch
+
+import java.io.ByteArrayOutputStream
+import org.bilberrycart.model.AttemptId
+import org.bilberrycart.model.LossCause
+import org.bilberrycart.model.Request
+import org.eclipse.jetty.client.Request as HttpRequest
+
+/** An exchange whose response is the whole answer of a plain service. */
+internal class CallExchange(
+    attempt: AttemptId,
+    request: Request,
+    http: HttpRequest,
+    output: UpstreamOutput,
+    private val maxReplyBytes: Int,
+) : Exchange(attempt, request, http, output) {
+    private val body = ByteArrayOutputStream()
+
+    @Volatile private var status = 0
+
+    @Volatile private var isTooLong = false
+
+    override fun onStatus(status: Int) {
+        this.status = status
+    }
+
+    override fun onContent(bytes: ByteArray) {
+        if (body.size() + bytes.size > maxReplyBytes) isTooLong = true else body.write(bytes)
+    }
+
+    override fun onEnd() {
+        if (isTooLong) {
+            lose(LossCause.PROTOCOL)
+        } else {
+            emit(UpstreamEvent.Replied(attempt, status, body.toString(Charsets.UTF_8)))
+        }
+        close()
+    }
+
+    override fun onFailure() {
+        super.onFailure()
+        close()
+    }
+}
--- a/library/src/main/kotlin/org/bilberrycart/dispatch/DispatchAction.kt
+++ b/library/src/main/kotlin/org/bilberrycart/dispatch/DispatchAction.kt
@@ -21,6 +21,9 @@
     public data class Reopen(val attempt: AttemptId, val upstream: Upstream, val from: Int) :
         DispatchAction()
 
+    /** The exchange of [attempt] ended by itself. */
+    public data class Forget(val attempt: AttemptId) : DispatchAction()
+
     /** The attempt was not sent; no byte left the node. */
     public data class NotSent(
         val attempt: AttemptId,
--- a/library/src/main/kotlin/org/bilberrycart/dispatch/DispatchEvent.kt
+++ b/library/src/main/kotlin/org/bilberrycart/dispatch/DispatchEvent.kt
@@ -24,4 +24,7 @@
 
     /** [upstream] takes no new work. */
     public data class Leaving(val upstream: UpstreamId) : DispatchEvent()
+
+    /** [upstream] is back and takes new work again. */
+    public data class Returned(val upstream: UpstreamId) : DispatchEvent()
 }
--- /dev/null
+++ b/library/src/main/kotlin/org/bilberrycart/encode/AnswerEncoder.kt
@@ -0,0 +1,48 @@
+package org.bilberrycart.encode
+
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+import org.bilberrycart.model.AnswerPart
+import org.bilberrycart.model.FinishReason
+import org.bilberrycart.model.RequestId
+import org.bilberrycart.model.Token
+
+/** Encodes whole answers and failures as JSON, described in docs/CALLER-API.md. */
+public object AnswerEncoder {
+    private val json = Json
+
+    @Serializable
+    private data class Answer(
+        val request: String,
+        val tokens: List<String>,
+        val reason: FinishReason,
+    )
+
+    @Serializable
+    private data class Failure(
+        val code: Int,
+        val name: String,
+        val message: String,
+        val detail: String,
+        val retryable: Boolean,
+    )
+
+    /** Returns the JSON of a whole generation. */
+    public fun answer(request: RequestId, tokens: List<Token>, reason: FinishReason): String =
+        json.encodeToString(
+            Answer.serializer(),
+            Answer(request.value, tokens.map(Token::text), reason),
+        )
+
+    /** Returns the JSON of a failure, the same as a body and as an event. */
+    public fun failure(part: AnswerPart.Failed): String = json.encodeToString(
+        Failure.serializer(),
+        Failure(
+            code = part.code.number,
+            name = part.code.name,
+            message = part.code.meaning,
+            detail = part.detail,
+            retryable = part.code.retryable,
+        ),
+    )
+}
--- a/library/src/main/kotlin/org/bilberrycart/journal/JournalAction.kt
+++ b/library/src/main/kotlin/org/bilberrycart/journal/JournalAction.kt
@@ -46,7 +46,7 @@
     /** Count a token that is not accepted. */
     public data class CountStray(val attempt: AttemptId, val index: Int) : JournalAction()
 
-    /** Count a loss, and when the answer goes on, the [latency] since the last token. */
+    /** Count the loss of [attempt]. */
     public data class CountLoss(val attempt: AttemptId, val cause: LossCause) : JournalAction()
 
     /** Count a resumed generation: [latency] from the last token before the loss to the next. */
--- a/library/src/main/kotlin/org/bilberrycart/journal/JournalEvent.kt
+++ b/library/src/main/kotlin/org/bilberrycart/journal/JournalEvent.kt
@@ -15,8 +15,11 @@
     /** The request that the event concerns; null for events that concern all. */
     public abstract val request: RequestId?
 
-    /** A new generation starts in epoch 1 with attempt 1. */
-    public data class Opened(val generation: GenerationRequest) : JournalEvent() {
+    /** A new generation starts in epoch 1 with attempt 1, which is on its way to routing. */
+    public data class Opened(
+        val generation: GenerationRequest,
+        val policy: GenerationPolicy = GenerationPolicy(),
+    ) : JournalEvent() {
         override val request: RequestId get() = generation.id
     }
 
@@ -25,6 +28,7 @@
         val generation: GenerationRequest,
         val epoch: Int,
         val tokens: PersistentList<Token>,
+        val policy: GenerationPolicy = GenerationPolicy(),
     ) : JournalEvent() {
         override val request: RequestId get() = generation.id
     }
@@ -34,6 +38,11 @@
         override val request: RequestId get() = attempt.request
     }
 
+    /** The engine accepted [attempt]; tokens follow once it has a free slot. */
+    public data class Accepted(val attempt: AttemptId) : JournalEvent() {
+        override val request: RequestId get() = attempt.request
+    }
+
     /** No upstream can take [attempt]. */
     public data class Unplaceable(val attempt: AttemptId, val code: ResultCode) : JournalEvent() {
         override val request: RequestId get() = attempt.request
@@ -58,12 +67,8 @@
         override val request: RequestId get() = attempt.request
     }
 
-    /** The probe of the upstream of [attempt] ended: it [isAlive] and [holdsStream], or not. */
-    public data class ProbeEnded(
-        val attempt: AttemptId,
-        val isAlive: Boolean,
-        val holdsStream: Boolean,
-    ) : JournalEvent() {
+    /** The probe of the upstream of [attempt] ended; [isAlive] tells whether it answered. */
+    public data class ProbeEnded(val attempt: AttemptId, val isAlive: Boolean) : JournalEvent() {
         override val request: RequestId get() = attempt.request
     }
 
--- a/library/src/main/kotlin/org/bilberrycart/model/LossCause.kt
+++ b/library/src/main/kotlin/org/bilberrycart/model/LossCause.kt
@@ -19,4 +19,7 @@
 
     /** The upstream broke its protocol, such as by a wrong token index. */
     PROTOCOL,
+
+    /** The deadline passed before the work was sent. */
+    DEADLINE,
 }
--- a/library/src/main/kotlin/org/bilberrycart/pipeline/Ring.kt
+++ b/library/src/main/kotlin/org/bilberrycart/pipeline/Ring.kt
@@ -12,10 +12,19 @@
  * on a condition, so that no thread spins. [offer] refuses instead of waiting. Nothing is dropped:
  * every item is accepted or refused, and [stats] counts both.
  *
+ * The [reserve] is room that only [put] may use. Rings that close a cycle of duties keep a reserve
+ * for at least as many control events as can be outstanding, so that a duty's [put] never waits
+ * behind bulk events and no cycle of full rings can stop the line.
+ *
  * @property name the name that metrics and invariants report.
  * @property capacity the largest number of items held.
+ * @property reserve the part of [capacity] that [offer] and [putBulk] leave free.
  */
-public class Ring<T : Any>(public val name: String, public val capacity: Int) {
+public class Ring<T : Any>(
+    public val name: String,
+    public val capacity: Int,
+    public val reserve: Int = 0,
+) {
     private val lock = ReentrantLock()
     private val notEmpty: Condition = lock.newCondition()
     private val notFull: Condition = lock.newCondition()
@@ -29,11 +38,14 @@
 
     init {
         require(capacity > 0) { "capacity of ring $name must be positive, got $capacity" }
+        require(reserve in 0 until capacity) {
+            "reserve of ring $name must be in 0 until $capacity, got $reserve"
+        }
     }
 
     /** Adds [item] if there is room; returns false, counting a refusal, if full or closed. */
     public fun offer(item: T): Boolean = lock.withLock {
-        if (closed || size == capacity) {
+        if (closed || size >= capacity - reserve) {
             refused++
             false
         } else {
@@ -42,15 +54,10 @@
     }
 
     /** Adds [item], waiting while the ring is full; returns false if it is or becomes closed. */
-    public fun put(item: T): Boolean = lock.withLock {
-        while (!closed && size == capacity) notFull.await()
-        if (closed) {
-            refused++
-            false
-        } else {
-            add(item)
-        }
-    }
+    public fun put(item: T): Boolean = putBelow(capacity, item)
+
+    /** Adds [item] as [put] does, but waits while only the [reserve] is free. */
+    public fun putBulk(item: T): Boolean = putBelow(capacity - reserve, item)
 
     /**
      * Takes all items held, at most [limit], waiting up to [wait] for the first one.
@@ -88,6 +95,16 @@
         )
     }
 
+    private fun putBelow(limit: Int, item: T): Boolean = lock.withLock {
+        while (!closed && size >= limit) notFull.await()
+        if (closed) {
+            refused++
+            false
+        } else {
+            add(item)
+        }
+    }
+
     private fun add(item: T): Boolean {
         slots[(head + size) % capacity] = item
         size++
--- a/library/src/main/kotlin/org/bilberrycart/release/ReleaseAction.kt
+++ b/library/src/main/kotlin/org/bilberrycart/release/ReleaseAction.kt
@@ -1,6 +1,8 @@
 package org.bilberrycart.release
 
 import org.bilberrycart.model.AnswerPart
+import org.bilberrycart.model.EventId
+import org.bilberrycart.model.OrganisationId
 import org.bilberrycart.model.RequestId
 import org.bilberrycart.model.ResultCode
 
@@ -9,6 +11,14 @@
     /** Put [part] into the outbox of [caller]; its credit covers it. */
     public data class Deliver(val caller: CallerId, val part: AnswerPart) : ReleaseAction()
 
+    /** This shard does not know [request]; find out whether another node holds a replica of it. */
+    public data class Locate(
+        val request: RequestId,
+        val organisation: OrganisationId,
+        val caller: CallerId,
+        val after: EventId?,
+    ) : ReleaseAction()
+
     /** The answer of [request] is over for the node; its admission ends. */
     public data class Over(val request: RequestId) : ReleaseAction()
 
--- a/library/src/main/kotlin/org/bilberrycart/release/ReleaseEvent.kt
+++ b/library/src/main/kotlin/org/bilberrycart/release/ReleaseEvent.kt
@@ -1,9 +1,12 @@
 package org.bilberrycart.release
 
+import kotlinx.collections.immutable.PersistentList
 import org.bilberrycart.model.AnswerPart
 import org.bilberrycart.model.EventId
+import org.bilberrycart.model.Lineage
 import org.bilberrycart.model.OrganisationId
 import org.bilberrycart.model.RequestId
+import org.bilberrycart.model.ResultCode
 import org.bilberrycart.model.Token
 
 /** What a release shard reacts to. */
@@ -25,6 +28,21 @@
         val after: EventId?,
     ) : ReleaseEvent()
 
+    /** This node has taken over the generation with the [tokens] that its replica held. */
+    public data class Adopted(
+        override val request: RequestId,
+        val organisation: OrganisationId,
+        val lineage: Lineage,
+        val tokens: PersistentList<Token>,
+    ) : ReleaseEvent()
+
+    /** No generation of this id can go on here for [caller]; [code] tells why. */
+    public data class Refused(
+        override val request: RequestId,
+        val caller: CallerId,
+        val code: ResultCode,
+    ) : ReleaseEvent()
+
     /** [caller] has taken [parts] parts from its outbox. */
     public data class Credit(
         override val request: RequestId,
