--- /dev/null
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/ConfigCommand.kt
@@ -0,0 +1,16 @@
+package org.bilberrycart.daemon
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.subcommands
+
+/** The commands around settings folders. */
+class ConfigCommand : CliktCommand(name = "config") {
+    init {
+        subcommands(ConfigCheckCommand(), ConfigShowCommand(), ConfigDiffCommand())
+    }
+
+    override fun help(context: Context): String = "Checks, shows and compares settings folders."
+
+    override fun run() = Unit
+}
--- a/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
@@ -2,9 +2,14 @@
 
 import com.github.ajalt.clikt.core.CliktCommand
 import com.github.ajalt.clikt.core.main
+import com.github.ajalt.clikt.core.subcommands
 
 /** The command line of bilberrycart; each subcommand is a class of its own. */
 class Bilberrycart : CliktCommand(name = "bilberrycart") {
+    init {
+        subcommands(ConfigCommand())
+    }
+
     override fun run() = Unit
 }
 
--- a/library/src/main/kotlin/org/bilberrycart/settings/SettingsFault.kt
+++ b/library/src/main/kotlin/org/bilberrycart/settings/SettingsFault.kt
@@ -17,5 +17,8 @@
     val expected: String,
     val found: String,
 ) {
-    override fun toString(): String = "$file: $path: expected $expected, found $found"
+    override fun toString(): String {
+        val place = if (path.isEmpty()) file else "$file: $path"
+        return "$place: expected $expected, found $found"
+    }
 }
