--- /dev/null
+++ b/library/src/main/kotlin/org/bilberrycart/admission/AdmittedRequest.kt
@@ -0,0 +1,14 @@
+package org.bilberrycart.admission
+
+import kotlin.time.Duration
+import org.bilberrycart.model.OrganisationId
+import org.bilberrycart.model.RequestClass
+import org.bilberrycart.model.ServiceId
+
+/** A request that was admitted and is not over; it has run since [startedAt] or arrival. */
+public data class AdmittedRequest(
+    val organisation: OrganisationId,
+    val service: ServiceId,
+    val requestClass: RequestClass,
+    val startedAt: Duration,
+)
--- /dev/null
+++ b/library/src/main/kotlin/org/bilberrycart/admission/Usage.kt
@@ -0,0 +1,17 @@
+package org.bilberrycart.admission
+
+import kotlinx.serialization.Serializable
+
+/**
+ * What an organisation uses.
+ *
+ * @property requestsPerSecond new requests a second.
+ * @property concurrent requests that wait or run.
+ * @property tokensPerMinute tokens generated a minute.
+ */
+@Serializable
+public data class Usage(
+    val requestsPerSecond: Double = 0.0,
+    val concurrent: Int = 0,
+    val tokensPerMinute: Double = 0.0,
+)
--- /dev/null
+++ b/library/src/main/kotlin/org/bilberrycart/routing/Chooser.kt
@@ -0,0 +1,121 @@
+package org.bilberrycart.routing
+
+import kotlin.random.Random
+import kotlin.time.Duration
+import org.bilberrycart.model.GenerationRequest
+import org.bilberrycart.model.Placement
+import org.bilberrycart.model.RequestClass
+
+/** The result of a search for an upstream. */
+internal sealed class Choice {
+    /** [upstream] takes the work; [cursor] is the next position of round robin. */
+    data class Chosen(val upstream: UpstreamState, val cursor: Int) : Choice()
+
+    /** Upstreams match, but none has room. */
+    data object Full : Choice()
+
+    /** No upstream matches. */
+    data object Unmatched : Choice()
+}
+
+/** Chooses an upstream of [pool] for [placement]; [random] is the only source of chance. */
+internal class Chooser(
+    private val state: RoutingState,
+    private val pool: Pool,
+    private val placement: Placement,
+    private val now: Duration,
+    private val random: Random,
+) {
+    private val routing = state.routingOf(placement.request.service)
+    private val reserved = reservedShare()
+
+    fun choose(): Choice {
+        val quick = byPolicy()
+        if (quick != null) return Choice.Chosen(quick, nextCursor(quick))
+        val serving = (0 until pool.size).map { at(it) }.filter { it.isServing }
+        val preferred = serving.filter(::isPreferred).ifEmpty { serving }
+        val open = preferred.filter(::hasRoom)
+        return when {
+            serving.isEmpty() -> Choice.Unmatched
+            open.isEmpty() -> Choice.Full
+            else -> leastLoaded(open).let { Choice.Chosen(it, nextCursor(it)) }
+        }
+    }
+
+    private fun byPolicy(): UpstreamState? = when (val policy = routing.policy) {
+        RoutingPolicy.RoundRobin -> nextInTurn()
+        is RoutingPolicy.LeastOfRandom -> localFirst(policy.candidates)
+        is RoutingPolicy.Dedicated -> localFirst(policy.candidates)
+        is RoutingPolicy.PrefixAffinity -> holderOfPrefix(policy) ?: localFirst(policy.candidates)
+    }
+
+    private fun nextInTurn(): UpstreamState? = (0 until pool.size).firstNotNullOfOrNull { step ->
+        at((pool.cursor + step) % pool.size).takeIf(::isOpen)
+    }
+
+    private fun localFirst(candidates: Int): UpstreamState? {
+        val local = sample(0, pool.local.size, candidates)
+        if (local != null && relativeLoad(local) < routing.spillAt) return local
+        val remote = sample(pool.local.size, pool.remote.size, candidates)
+        return listOfNotNull(local, remote).minByOrNull(::relativeLoad)
+    }
+
+    private fun sample(from: Int, count: Int, candidates: Int): UpstreamState? {
+        if (count == 0) return null
+        return (0 until candidates)
+            .map { at(from + random.nextInt(count)) }
+            .filter(::isOpen)
+            .minByOrNull(::relativeLoad)
+    }
+
+    private fun holderOfPrefix(policy: RoutingPolicy.PrefixAffinity): UpstreamState? {
+        val request = placement.request as? GenerationRequest ?: return null
+        val prefix = request.prompt.take(PREFIX_CHARACTERS).hashCode()
+        val members = (0 until pool.size).map(::at).filter { it.isServing }
+        val mean = members.sumOf(::relativeLoad) / members.size.coerceAtLeast(1)
+        val holder = members.filter(::isPreferred).maxByOrNull { score(prefix, it) }
+        return holder?.takeIf {
+            hasRoom(it) && it.load <= policy.loadBound * mean * it.capacity(now) + 1
+        }
+    }
+
+    private fun leastLoaded(open: List<UpstreamState>): UpstreamState =
+        (0..1).map { open[random.nextInt(open.size)] }.minBy(::relativeLoad)
+
+    private fun at(index: Int): UpstreamState = state.upstreams.getValue(pool[index])
+
+    private fun nextCursor(chosen: UpstreamState): Int {
+        if (routing.policy != RoutingPolicy.RoundRobin) return pool.cursor
+        val position = (0 until pool.size).first { pool[it] == chosen.upstream.id }
+        return (position + 1) % pool.size
+    }
+
+    private fun isOpen(candidate: UpstreamState): Boolean =
+        candidate.isServing && isPreferred(candidate) && hasRoom(candidate)
+
+    private fun isPreferred(candidate: UpstreamState): Boolean =
+        !candidate.isEjected(now) && candidate.upstream.id !in placement.avoid
+
+    private fun hasRoom(candidate: UpstreamState): Boolean {
+        val limit = candidate.capacity(now) * (1 - reserved)
+        val whole = limit.toInt()
+        val part = score(0, candidate).toUInt().toDouble() / UInt.MAX_VALUE.toDouble()
+        return candidate.load < if (part < limit - whole) whole + 1 else whole
+    }
+
+    private fun relativeLoad(candidate: UpstreamState): Double =
+        candidate.load / candidate.capacity(now)
+
+    private fun reservedShare(): Double = when {
+        placement.isResume -> 0.0
+
+        placement.request.requestClass == RequestClass.LONG_DRAFT ->
+            minOf(1.0, routing.resumeReserve + routing.shortReserve)
+
+        else -> routing.resumeReserve
+    }
+
+    private companion object {
+        const val PREFIX_CHARACTERS = 256
+    }
+}
--- a/library/src/main/kotlin/org/bilberrycart/routing/RoutingAction.kt
+++ b/library/src/main/kotlin/org/bilberrycart/routing/RoutingAction.kt
@@ -4,6 +4,7 @@
 import org.bilberrycart.model.Placement
 import org.bilberrycart.model.Request
 import org.bilberrycart.model.ResultCode
+import org.bilberrycart.model.ServiceId
 import org.bilberrycart.model.Upstream
 
 /** What the routing duty asks for. */
@@ -17,4 +18,13 @@
         val request: Request,
         val code: ResultCode,
     ) : RoutingAction()
+
+    /**
+     * Tell admission how much the upstreams of [service] can run.
+     *
+     * @property slots the slots of the upstreams that take new work.
+     * @property others how many of them other nodes use, by the last load reports.
+     */
+    public data class ReportCapacity(val service: ServiceId, val slots: Int, val others: Int) :
+        RoutingAction()
 }
--- a/library/src/main/kotlin/org/bilberrycart/routing/RoutingEvent.kt
+++ b/library/src/main/kotlin/org/bilberrycart/routing/RoutingEvent.kt
@@ -3,6 +3,7 @@
 import org.bilberrycart.model.AttemptId
 import org.bilberrycart.model.AttemptOutcome
 import org.bilberrycart.model.Placement
+import org.bilberrycart.model.ServiceId
 import org.bilberrycart.model.Upstream
 import org.bilberrycart.model.UpstreamId
 
@@ -11,6 +12,9 @@
     /** [placement] needs an upstream: a new request, or one that lost its upstream. */
     public data class Place(val placement: Placement) : RoutingEvent()
 
+    /** [attempt] is not wanted any more; it is forgotten if it still waits for a slot. */
+    public data class Withdraw(val attempt: AttemptId) : RoutingEvent()
+
     /** An attempt on [upstream] is over. */
     public data class AttemptEnded(
         val attempt: AttemptId,
@@ -21,8 +25,11 @@
     /** [upstream] reported its load, late as always. */
     public data class LoadReported(val upstream: UpstreamId, val load: LoadReport) : RoutingEvent()
 
-    /** The upstreams that the configuration in force declares. */
-    public data class Configured(val upstreams: List<Upstream>) : RoutingEvent()
+    /** The upstreams that the configuration in force declares, and how [services] use them. */
+    public data class Configured(
+        val upstreams: List<Upstream>,
+        val services: Map<ServiceId, ServiceRouting> = emptyMap(),
+    ) : RoutingEvent()
 
     /** [upstream] takes no new work until it is back with a higher [incarnation]. */
     public data class Leaving(val upstream: UpstreamId, val incarnation: Long) : RoutingEvent()
