--- a/library/src/main/kotlin/org/bilberrycart/journal/JournalAction.kt
+++ b/library/src/main/kotlin/org/bilberrycart/journal/JournalAction.kt
@@ -30,6 +30,9 @@
     /** Stop [attempt]; it is no longer the current one. */
     public data class CancelAttempt(val attempt: AttemptId) : JournalAction()
 
+    /** [attempt] is not wanted any more and has not been placed yet. */
+    public data class Withdraw(val attempt: AttemptId) : JournalAction()
+
     /** Ask the silent upstream of [attempt] on a new connection. */
     public data class Probe(val attempt: AttemptId) : JournalAction()
 
--- a/library/src/main/kotlin/org/bilberrycart/journal/JournalFilter.kt
+++ b/library/src/main/kotlin/org/bilberrycart/journal/JournalFilter.kt
@@ -299,7 +299,8 @@
     }
 
     private fun cancel(contender: Contender): List<JournalAction> {
-        val upstream = contender.upstream ?: return emptyList()
+        val upstream = contender.upstream
+            ?: return listOf(JournalAction.Withdraw(contender.attempt))
         return cancel(contender.attempt, upstream)
     }
 
--- a/library/src/main/kotlin/org/bilberrycart/release/ReleaseAction.kt
+++ b/library/src/main/kotlin/org/bilberrycart/release/ReleaseAction.kt
@@ -19,9 +19,9 @@
         val after: EventId?,
     ) : ReleaseAction()
 
-    /** The answer of [request] is over for the node; its admission ends. */
-    public data class Over(val request: RequestId) : ReleaseAction()
+    /** The answer of [request] is over after [tokens] tokens; its admission ends. */
+    public data class Over(val request: RequestId, val tokens: Int = 0) : ReleaseAction()
 
-    /** Stop the generation of [request]: no caller came back in time. */
+    /** Stop the generation of [request]: its caller cancelled it or did not come back. */
     public data class Abandon(val request: RequestId, val code: ResultCode) : ReleaseAction()
 }
--- a/library/src/main/kotlin/org/bilberrycart/release/ReleaseEvent.kt
+++ b/library/src/main/kotlin/org/bilberrycart/release/ReleaseEvent.kt
@@ -50,6 +50,12 @@
         val parts: Int,
     ) : ReleaseEvent()
 
+    /** A caller of [organisation] wants the generation stopped. */
+    public data class CancelRequested(
+        override val request: RequestId,
+        val organisation: OrganisationId,
+    ) : ReleaseEvent()
+
     /** [caller] went away. */
     public data class Disconnected(override val request: RequestId, val caller: CallerId) :
         ReleaseEvent()
--- a/library/src/main/kotlin/org/bilberrycart/release/ReleaseFilter.kt
+++ b/library/src/main/kotlin/org/bilberrycart/release/ReleaseFilter.kt
@@ -31,6 +31,7 @@
             state.withActions(ReleaseAction.Deliver(event.caller, AnswerPart.Failed(event.code)))
         is ReleaseEvent.Credit -> credit(state, event)
         is ReleaseEvent.Disconnected -> disconnected(state, event, now)
+        is ReleaseEvent.CancelRequested -> cancel(state, event)
         is ReleaseEvent.Released -> released(state, event)
         is ReleaseEvent.Ended -> ended(state, event, now)
         ReleaseEvent.Tick -> tick(state, now)
@@ -100,6 +101,13 @@
         return deliver(state, answer.copy(cursors = answer.cursors.put(event.caller, richer)))
     }
 
+    private fun cancel(state: ReleaseState, event: ReleaseEvent.CancelRequested): ReleaseStep {
+        val answer = state.answers[event.request]
+        val isOwn = answer?.organisation == event.organisation
+        if (!isOwn || answer?.end != null) return Step(state)
+        return state.withActions(ReleaseAction.Abandon(event.request, ResultCode.CANCELLED))
+    }
+
     private fun disconnected(
         state: ReleaseState,
         event: ReleaseEvent.Disconnected,
@@ -125,9 +133,10 @@
     }
 
     private fun ended(state: ReleaseState, event: ReleaseEvent.Ended, now: Duration): ReleaseStep {
-        val over = ReleaseAction.Over(event.request)
-        val answer = state.answers[event.request] ?: return state.withActions(over)
+        val answer = state.answers[event.request]
+            ?: return state.withActions(ReleaseAction.Over(event.request))
         if (answer.end != null) return Step(state)
+        val over = ReleaseAction.Over(event.request, answer.tokens.size)
         val ended = answer.copy(end = event.end, unreadSince = answer.unreadSince ?: now)
         return Step<ReleaseState, ReleaseAction>(state, persistentListOf(over))
             .then { deliver(it, ended) }
