Add the emulated model engine

Cause: the first path from end to end needs an upstream that batches, caches prefixes, resumes from a token prefix and fails on command. `bilberrycart standin engine` runs it.

--- a/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
@@ -2,6 +2,7 @@
 
 import com.github.ajalt.clikt.core.CliktCommand
 import com.github.ajalt.clikt.core.main
+import com.github.ajalt.clikt.core.subcommands
 
 /** The command line of bilberrycart; each subcommand is a class of its own. */
 class Bilberrycart : CliktCommand(name = "bilberrycart") {
@@ -9,4 +10,8 @@
 }
 
 /** Runs the command line. */
-fun main(args: Array<String>) = Bilberrycart().main(args)
+fun main(args: Array<String>) = Bilberrycart()
+    .subcommands(
+        StandInCommand().subcommands(StandInEngineCommand()),
+    )
+    .main(args)
--- /dev/null
+++ b/standins/src/main/kotlin/org/bilberrycart/standins/engine/EngineFilter.kt
@@ -0,0 +1,186 @@
+package org.bilberrycart.standins.engine
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
+import org.bilberrycart.pipeline.Step
+import org.bilberrycart.pipeline.then
+import org.bilberrycart.pipeline.withActions
+import org.bilberrycart.standins.engine.EngineReply.Refused
+import org.bilberrycart.standins.pipeline.TimedFilter
+
+/** The decisions of an emulated engine with a continuous batch, a queue and a prefix cache. */
+object EngineFilter : TimedFilter<EngineState, EngineEvent, EngineAction> {
+    /** How often ended and unread streams are looked at. */
+    internal val SWEEP_INTERVAL = 1.seconds
+
+    override val tick: EngineEvent = EngineEvent.Tick
+
+    override fun nextTickAt(state: EngineState): Duration? = when {
+        !state.isAlive || state.isPaused -> null
+        state.stepAt == null -> state.sweepAt
+        state.sweepAt == null -> state.stepAt
+        else -> minOf(state.stepAt, state.sweepAt)
+    }
+
+    override fun step(
+        state: EngineState,
+        event: EngineEvent,
+        now: Duration,
+    ): Step<EngineState, EngineAction> {
+        val step = when (event) {
+            is EngineEvent.Tick -> tick(state, now)
+            is EngineEvent.Open -> open(state, event, now)
+            is EngineEvent.Read -> read(state, event)
+            is EngineEvent.ReaderGone -> readerGone(state, event.reader, now)
+            is EngineEvent.Cancel -> cancel(state, event, now)
+            is EngineEvent.Ordered -> ordered(state, event)
+            is EngineEvent.Faulted -> FaultSteps.apply(state, event, now)
+        }
+        return step.copy(state = step.state.sampled(now))
+    }
+
+    private fun tick(state: EngineState, now: Duration): EngineStep {
+        if (!state.isAlive || state.isPaused) return Step(state)
+        return BatchSteps.decode(state, now)
+            .then { BatchSteps.sweep(it, now) }
+            .then { BatchSteps.fill(it, now) }
+    }
+
+    private fun open(state: EngineState, event: EngineEvent.Open, now: Duration): EngineStep {
+        val refusal = refusal(state, event.request)
+        if (refusal != null) return state.withActions(EngineAction.Send(event.reader, refusal))
+        val stream = StreamState.of(event.request, event.reader, state.arrivals)
+        val attempt = event.request.attempt
+        return state.with(stream)
+            .copy(
+                arrivals = state.arrivals + 1,
+                queue = state.queue.add(attempt),
+                readers = state.readers.put(event.reader, attempt),
+                sweepAt = state.sweepAt ?: (now + SWEEP_INTERVAL),
+            )
+            .count { counted(stream) }
+            .withActions(EngineAction.Send(event.reader, EngineReply.Accepted(stream.source)))
+            .then { BatchSteps.fill(it, now) }
+    }
+
+    private fun EngineCounters.counted(stream: StreamState): EngineCounters {
+        val isResumed = stream.request.prefix.isNotEmpty()
+        val isWrong = stream.source.prompt != stream.request.prompt
+        return copy(
+            streams = streams + 1,
+            resumed = resumed + if (isResumed) 1 else 0,
+            wrongPrefixes = wrongPrefixes + if (isWrong) 1 else 0,
+        )
+    }
+
+    private fun refusal(state: EngineState, request: StreamRequest): Refused? {
+        val fault = request.fault()
+        return when {
+            !state.isAlive -> Refused(UNAVAILABLE, "the engine is dead")
+            fault != null -> Refused(BAD_REQUEST, fault)
+            request.attempt in state.streams ->
+                Refused(CONFLICT, "attempt ${request.attempt} exists")
+            request.loadedModel !in state.models ->
+                Refused(NOT_FOUND, "model ${request.model} is not loaded")
+            state.isLeaving -> Refused(UNAVAILABLE, "the engine is leaving")
+            state.batch.size >= state.settings.slots &&
+                state.queue.size >= state.settings.queueLimit ->
+                Refused(UNAVAILABLE, "the queue is full")
+            else -> null
+        }
+    }
+
+    private fun read(state: EngineState, event: EngineEvent.Read): EngineStep {
+        val stream = state.streams[event.attempt]
+            ?: return state.refuse(event.reader, NOT_FOUND, "no attempt ${event.attempt}")
+        if (event.from !in 0..stream.next) {
+            return state.refuse(event.reader, BAD_REQUEST, "from must be in 0..${stream.next}")
+        }
+        val opening = listOf(
+            EngineReply.Accepted(stream.source),
+            EngineReply.Tokens(event.from, stream.next),
+        ).map { EngineAction.Send(event.reader, it) }
+        val phase = stream.phase
+        if (phase is StreamPhase.Ended) {
+            return Step(
+                state,
+                (opening + endActions(stream, phase.ending, event.reader)).toPersistentList(),
+            )
+        }
+        val followed = stream.copy(readers = stream.readers.add(event.reader), unreadSince = null)
+        val next = state.with(followed)
+            .copy(readers = state.readers.put(event.reader, event.attempt))
+        return Step(next, opening.toPersistentList())
+    }
+
+    private fun readerGone(state: EngineState, reader: ReaderId, now: Duration): EngineStep {
+        val attempt = state.readers[reader] ?: return Step(state)
+        val rest = state.copy(readers = state.readers.remove(reader))
+        val stream = rest.streams[attempt] ?: return Step(rest)
+        return Step(rest.with(stream.without(reader, now)))
+    }
+
+    private fun cancel(state: EngineState, event: EngineEvent.Cancel, now: Duration): EngineStep {
+        val stream = state.streams[event.attempt]
+            ?: return state.refuse(event.reader, NOT_FOUND, "no attempt ${event.attempt}")
+        val done = persistentListOf(EngineAction.Send(event.reader, EngineReply.Done))
+        if (stream.phase is StreamPhase.Ended) return Step(state, done)
+        return BatchSteps.end(state, stream, StreamEnding.CUT, now)
+            .then { Step(it.count { copy(cancelled = cancelled + 1) }, done) }
+            .then { BatchSteps.fill(it, now) }
+    }
+
+    private fun ordered(state: EngineState, event: EngineEvent.Ordered): EngineStep {
+        if (state.settings.checksFencing && event.fencing < state.highestFencing) {
+            val refused = Refused(CONFLICT, "old fencing number", state.highestFencing)
+            return state.withActions(EngineAction.Send(event.reader, refused))
+        }
+        val next = when (val order = event.order) {
+            is EngineOrder.Load ->
+                state.copy(
+                    models = state.models.add(
+                        order.run {
+                            LoadedModel(model, adapter, version)
+                        },
+                    ),
+                )
+            is EngineOrder.Unload ->
+                state.copy(
+                    models = state.models.remove(
+                        order.run {
+                            LoadedModel(model, adapter, version)
+                        },
+                    ),
+                )
+            is EngineOrder.Role -> state.copy(role = order.role)
+            is EngineOrder.Drain -> state.copy(isLeaving = order.draining)
+        }
+        return next.copy(highestFencing = maxOf(state.highestFencing, event.fencing))
+            .withActions(EngineAction.Send(event.reader, EngineReply.Done))
+    }
+
+    private fun EngineState.refuse(reader: ReaderId, status: Int, error: String): EngineStep =
+        withActions(EngineAction.Send(reader, Refused(status, error)))
+
+    private const val BAD_REQUEST = 400
+    private const val NOT_FOUND = 404
+    private const val CONFLICT = 409
+    private const val UNAVAILABLE = 503
+}
+
+/** A step of the engine's filter. */
+internal typealias EngineStep = Step<EngineState, EngineAction>
+
+/** What [reader] receives when [stream] ends with [ending]. */
+internal fun endActions(
+    stream: StreamState,
+    ending: StreamEnding,
+    reader: ReaderId,
+): List<EngineAction> {
+    val finish = ending.reason?.let {
+        EngineAction.Send(reader, EngineReply.Finished(it, stream.next))
+    }
+    return listOfNotNull(finish, EngineAction.Close(reader))
+}
--- /dev/null
+++ b/standins/src/main/kotlin/org/bilberrycart/standins/engine/PrefixCache.kt
@@ -0,0 +1,39 @@
+package org.bilberrycart.standins.engine
+
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentSetOf
+
+/**
+ * The prefix blocks that an engine has computed, least recently used first.
+ *
+ * @property capacity how many blocks the cache holds.
+ */
+data class PrefixCache(val capacity: Int, val blocks: PersistentSet<Long> = persistentSetOf()) {
+    /** Returns how many of the leading blocks of [chain] are held. */
+    fun hits(chain: List<Long>): Int = chain.takeWhile { it in blocks }.size
+
+    /** Returns this cache after [chain] was computed or used. */
+    fun touch(chain: List<Long>): PrefixCache {
+        val held = chain.fold(blocks) { set, block -> set.remove(block).add(block) }
+        return copy(blocks = held.trim(held.size - capacity))
+    }
+
+    private tailrec fun PersistentSet<Long>.trim(excess: Int): PersistentSet<Long> =
+        if (excess <= 0) this else remove(first()).trim(excess - 1)
+
+    companion object {
+        /** The number of tokens in one block. */
+        const val BLOCK_TOKENS = 16
+
+        /** Returns the chained hashes of the full blocks of [tokens] under [model]. */
+        fun chain(model: LoadedModel, tokens: List<String>): List<Long> {
+            val start = chainHash(0, "${model.model}/${model.adapter}/${model.version}")
+            return tokens.runningFold(start, ::chainHash)
+                .filterIndexed { i, _ -> i > 0 && i % BLOCK_TOKENS == 0 }
+        }
+
+        /** Splits [prompt] into the tokens that prefill computes. */
+        fun promptTokens(prompt: String): List<String> =
+            prompt.split(' ').filter { it.isNotEmpty() }
+    }
+}
