--- a/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
@@ -14,4 +14,8 @@
 }
 
 /** Runs the command line. */
-fun main(args: Array<String>) = Bilberrycart().main(args)
+fun main(args: Array<String>) = Bilberrycart()
+    .subcommands(
+        StandInCommand().subcommands(StandInEngineCommand()),
+    )
+    .main(args)
