--- a/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
@@ -12,6 +12,7 @@
 /** Runs the command line. */
 fun main(args: Array<String>) = Bilberrycart()
     .subcommands(
+        TryCommand(),
         StandInCommand().subcommands(StandInEngineCommand()),
     )
     .main(args)
--- a/library/src/main/kotlin/org/bilberrycart/dispatch/UpstreamClient.kt
+++ b/library/src/main/kotlin/org/bilberrycart/dispatch/UpstreamClient.kt
@@ -20,8 +20,8 @@
  * Carries out [DispatchAction]s over HTTP without ever waiting for an upstream.
  *
  * All exchanges are asynchronous; what they bring goes to [output]. Probes, reattachments,
- * cancellations and calls that may run at most once use new connections, since a pooled one may have
- * gone silent for good.
+ * cancellations and calls that may run at most once use new connections, since a pooled one may
+ * have gone silent for good.
  */
 public class UpstreamClient(
     private val settings: UpstreamClientSettings = UpstreamClientSettings(),
--- a/library/src/main/kotlin/org/bilberrycart/dispatch/UpstreamClientSettings.kt
+++ b/library/src/main/kotlin/org/bilberrycart/dispatch/UpstreamClientSettings.kt
@@ -17,5 +17,5 @@
     val idleAge: Duration = 20.seconds,
     val maxAge: Duration = 60.seconds,
     val connectionsPerUpstream: Int = 4096,
-    val maxReplyBytes: Int = 1024 * 1024,
+    val maxReplyBytes: Int = 1_048_576,
 )
--- a/library/src/main/kotlin/org/bilberrycart/http/CallerApi.kt
+++ b/library/src/main/kotlin/org/bilberrycart/http/CallerApi.kt
@@ -31,8 +31,8 @@
 /**
  * The HTTP interface of callers, described in docs/CALLER-API.md.
  *
- * The thread of a request decodes it, sends it into the pipeline and then waits on the outbox of its
- * caller; it decides nothing else.
+ * The thread of a request decodes it, sends it into the pipeline and then waits on the outbox of
+ * its caller; it decides nothing else.
  *
  * @property keepAlive the time between comments on a quiet stream.
  */
--- a/library/src/main/kotlin/org/bilberrycart/routing/Ejection.kt
+++ b/library/src/main/kotlin/org/bilberrycart/routing/Ejection.kt
@@ -32,6 +32,8 @@
         it.copy(others = maxOf(it.others, it.upstream.slots - it.own))
     }
 
+    LossCause.DEADLINE -> this
+
     LossCause.GONE -> lost(id, LOSSES_TO_EJECT, now)
 
     LossCause.RESET, LossCause.ENDED_EARLY, LossCause.SILENT, LossCause.PROTOCOL ->
