Add the platform stand-in and the client of its table

Cause: calls that run at most once, configuration and leases keep their state in the platform's table, which has rates, outages and lost answers. Change: a stand-in (table with conditional groups, objects, weights, lagging list of VMs, faults) as one duty behind http4k; in the library the typed table calls, PlatformFilter (group commit, deadlines, retry budget with jitter, circuit breaker, the node's share of the rates) and HttpTableClient on Jetty's client. standins now depends on the library, for the pipeline. Conclusion: a lost answer reaches the user as UnknownOutcome and is never retried by the client.

--- /dev/null
+++ b/library/src/main/kotlin/org/bilberrycart/platform/StoreContext.kt
@@ -0,0 +1,4 @@
+package org.bilberrycart.platform
+
+/** What a user of the store wants back with the result; each user has its own typed contexts. */
+public interface StoreContext
--- /dev/null
+++ b/library/src/main/kotlin/org/bilberrycart/platform/WriteGroup.kt
@@ -0,0 +1,12 @@
+package org.bilberrycart.platform
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+
+/** Writes that are applied all or not at all; many groups share one transaction of the table. */
+public data class WriteGroup(val writes: PersistentList<RowWrite>) {
+    public companion object {
+        /** Returns a group of [writes]. */
+        public fun of(vararg writes: RowWrite): WriteGroup = WriteGroup(persistentListOf(*writes))
+    }
+}
--- /dev/null
+++ b/library/src/test/kotlin/org/bilberrycart/platform/PlatformFilterTest.kt
@@ -0,0 +1,148 @@
+package org.bilberrycart.platform
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.datatest.withData
+import io.kotest.engine.names.WithDataTestName
+import io.kotest.matchers.shouldBe
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
+import org.bilberrycart.pipeline.Step
+
+private data class Ctx(val n: Int) : StoreContext
+
+private val key = RowKey("t", "a")
+private val filter = PlatformFilter()
+
+private fun write(n: Int, deadline: Duration = 10.seconds) = PlatformEvent.Write(
+    Ctx(n),
+    WriteGroup.of(RowWrite(key, Condition.Absent, "v")),
+    deadline,
+)
+
+private fun read(n: Int, deadline: Duration = 10.seconds) =
+    PlatformEvent.Read(Ctx(n), key, deadline)
+
+private fun run(
+    vararg events: Pair<Duration, PlatformEvent>,
+    state: PlatformState = PlatformState(),
+): Step<PlatformState, PlatformAction> =
+    events.fold(Step<PlatformState, PlatformAction>(state)) { step, (at, event) ->
+        val next = filter.step(step.state, event, at)
+        Step(next.state, (step.actions + next.actions).toPersistentList())
+    }
+
+private fun failed(id: Long, failure: StoreFailure, mayHaveApplied: Boolean) =
+    PlatformEvent.Ended(id, StoreReply.Failed(failure, mayHaveApplied))
+
+private data class FailureCase(
+    val name: String,
+    val call: PlatformEvent.Call,
+    val failure: StoreFailure,
+    val mayHaveApplied: Boolean,
+    val result: StoreResult?,
+) : WithDataTestName {
+    override fun dataTestName(): String = name
+}
+
+private data class BreakerCase(
+    val name: String,
+    val events: List<Pair<Duration, PlatformEvent>>,
+    val last: StoreResult?,
+) : WithDataTestName {
+    override fun dataTestName(): String = name
+}
+
+private fun outage(): List<Pair<Duration, PlatformEvent>> = (1..5).flatMap { n ->
+    val at = (n * 10).milliseconds
+    listOf(
+        at to read(n, deadline = at + 20.milliseconds),
+        at to failed(n.toLong(), StoreFailure.REFUSED, mayHaveApplied = true),
+    )
+}
+
+class PlatformFilterTest :
+    FunSpec({
+        context("a failed exchange is retried only if it certainly had no effect") {
+            val timedOut = StoreFailure.TIMED_OUT
+            val overRate = StoreFailure.OVER_RATE
+            withData(
+                FailureCase("lost answer", write(1), timedOut, true, unknown(timedOut)),
+                FailureCase("write over rate", write(1), overRate, false, result = null),
+                FailureCase("read timed out", read(1), timedOut, true, result = null),
+                FailureCase(
+                    "no time for a retry",
+                    read(1, deadline = 10.milliseconds),
+                    timedOut,
+                    true,
+                    StoreResult.Unavailable(timedOut),
+                ),
+            ) { case ->
+                val step = run(
+                    Duration.ZERO to case.call,
+                    1.milliseconds to failed(1, case.failure, case.mayHaveApplied),
+                )
+                val finished = step.actions.filterIsInstance<PlatformAction.Finish>()
+                finished.map { it.result } shouldBe listOfNotNull(case.result)
+                val retried = filter.step(step.state, PlatformEvent.Tick, 1.seconds)
+                val isSentAgain = retried.state.inFlight.isNotEmpty()
+                isSentAgain shouldBe (case.result == null)
+            }
+        }
+
+        context("after five failures in a row calls are refused until a probe succeeds") {
+            withData(
+                BreakerCase("open", outage() + (60.milliseconds to read(6)), circuitOpen),
+                BreakerCase("probe under way", outage() + (2.seconds to read(6)), last = null),
+                BreakerCase(
+                    "refused beside the probe",
+                    outage() + (2.seconds to read(6)) + (2.seconds to read(7)),
+                    circuitOpen,
+                ),
+                BreakerCase(
+                    "closed by the probe",
+                    outage() + (2.seconds to read(6)) +
+                        (2.seconds to PlatformEvent.Ended(6, found)) + (2.seconds to read(7)),
+                    last = null,
+                ),
+            ) { case ->
+                val step = run(*case.events.toTypedArray())
+                val number = case.events.map { it.second }.filterIsInstance<PlatformEvent.Read>()
+                    .last().context
+                step.actions.filterIsInstance<PlatformAction.Finish>()
+                    .filter { it.context == number }
+                    .map { it.result } shouldBe listOfNotNull(case.last)
+            }
+        }
+
+        test("groups that wait while transactions are under way share the next one") {
+            val waiting = (1..9).map { Duration.ZERO to write(it) }.toTypedArray()
+            val results = persistentListOf<StoreResult>(StoreResult.Applied(1))
+            val step = run(
+                *waiting,
+                100.milliseconds to PlatformEvent.Ended(1, StoreReply.Groups(results)),
+            )
+            step.actions.filterIsInstance<PlatformAction.SendTransaction>()
+                .map { it.groups.size } shouldBe listOf(1, 1, 7)
+        }
+
+        test("a queued call ends at its deadline") {
+            val slow = PlatformState(PlatformLimits(transactionsInFlight = 1))
+            val step = run(
+                Duration.ZERO to write(1),
+                Duration.ZERO to write(2, deadline = 1.seconds),
+                1.seconds to PlatformEvent.Tick,
+                state = slow,
+            )
+            step.actions.filterIsInstance<PlatformAction.Finish>() shouldBe listOf(
+                PlatformAction.Finish(Ctx(2), StoreResult.Unavailable(StoreFailure.EXPIRED)),
+            )
+        }
+    })
+
+private val found = StoreReply.Read(StoreResult.Found(row = null))
+private val circuitOpen = StoreResult.Unavailable(StoreFailure.CIRCUIT_OPEN)
+
+private fun unknown(failure: StoreFailure) = StoreResult.UnknownOutcome(failure)
