--- /dev/null
+++ b/library/src/main/kotlin/org/bilberrycart/idempotency/CallRecordCodec.kt
@@ -0,0 +1,39 @@
+package org.bilberrycart.idempotency
+
+import java.security.MessageDigest
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+import org.bilberrycart.platform.Row
+import org.bilberrycart.platform.RowKey
+
+/** The form of call records in the platform's table. */
+public object CallRecordCodec {
+    private val json = Json { ignoreUnknownKeys = true }
+
+    /** Returns the row of [key]; its name is a digest, since callers choose their keys freely. */
+    public fun rowKeyOf(key: RecordKey): RowKey {
+        val text = listOf(key.organisation.value, key.service.value, key.key.value)
+            .joinToString(separator = "\u0000")
+        val digest = MessageDigest.getInstance("SHA-256").digest(text.encodeToByteArray())
+        return RowKey(TABLE, digest.joinToString(separator = "") { "%02x".format(it) })
+    }
+
+    /** Returns [record] of [key] as the value of its row. */
+    public fun encode(key: RecordKey, record: CallRecord): String = json.encodeToString(
+        RecordMessage(key.organisation.value, key.service.value, key.key.value, record),
+    )
+
+    /** Returns the record in [row]. */
+    public fun decode(row: Row): StoredRecord =
+        StoredRecord(json.decodeFromString<RecordMessage>(row.value).record, row.version)
+
+    private const val TABLE = "calls"
+}
+
+@Serializable
+private data class RecordMessage(
+    val organisation: String,
+    val service: String,
+    val key: String,
+    val record: CallRecord,
+)
--- /dev/null
+++ b/library/src/main/kotlin/org/bilberrycart/idempotency/IdempotencyContext.kt
@@ -0,0 +1,11 @@
+package org.bilberrycart.idempotency
+
+import org.bilberrycart.model.RequestId
+import org.bilberrycart.platform.StoreContext
+
+/** What the idempotency duty gets back with the result of its store call [operation]. */
+public data class IdempotencyContext(
+    val request: RequestId,
+    val operation: Long,
+    val isRead: Boolean,
+) : StoreContext
