Wire calls, upstream health and the serve command

Cause: calls to plain services, upstream load and a long-running node were missing from the path. Conclusion: the forward path is whole; replication and takeover come with the peers.

--- a/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
@@ -6,17 +6,15 @@
 
 /** The command line of bilberrycart; each subcommand is a class of its own. */
 class Bilberrycart : CliktCommand(name = "bilberrycart") {
-    init {
-        subcommands(ConfigCommand())
-    }
-
     override fun run() = Unit
 }
 
 /** Runs the command line. */
 fun main(args: Array<String>) = Bilberrycart()
     .subcommands(
+        ServeCommand(),
         TryCommand(),
+        ConfigCommand(),
         StandInCommand().subcommands(StandInEngineCommand()),
     )
     .main(args)
--- a/library/src/main/kotlin/org/bilberrycart/dispatch/CallExchange.kt
+++ b/library/src/main/kotlin/org/bilberrycart/dispatch/CallExchange.kt
@@ -4,16 +4,18 @@
 import org.bilberrycart.model.AttemptId
 import org.bilberrycart.model.LossCause
 import org.bilberrycart.model.Request
+import org.bilberrycart.model.Upstream
 import org.eclipse.jetty.client.Request as HttpRequest
 
 /** An exchange whose response is the whole answer of a plain service. */
 internal class CallExchange(
     attempt: AttemptId,
     request: Request,
+    upstream: Upstream,
     http: HttpRequest,
     output: UpstreamOutput,
     private val maxReplyBytes: Int,
-) : Exchange(attempt, request, http, output) {
+) : Exchange(attempt, request, upstream, http, output) {
     private val body = ByteArrayOutputStream()
 
     @Volatile private var status = 0
@@ -32,7 +34,7 @@
         if (isTooLong) {
             lose(LossCause.PROTOCOL)
         } else {
-            emit(UpstreamEvent.Replied(attempt, status, body.toString(Charsets.UTF_8)))
+            end(UpstreamEvent.Replied(attempt, status, body.toString(Charsets.UTF_8)))
         }
         close()
     }
--- a/library/src/main/kotlin/org/bilberrycart/dispatch/Exchange.kt
+++ b/library/src/main/kotlin/org/bilberrycart/dispatch/Exchange.kt
@@ -2,9 +2,11 @@
 
 import java.nio.ByteBuffer
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicBoolean
 import org.bilberrycart.model.AttemptId
 import org.bilberrycart.model.LossCause
 import org.bilberrycart.model.Request
+import org.bilberrycart.model.Upstream
 import org.eclipse.jetty.client.Request as HttpRequest
 import org.eclipse.jetty.client.Result
 
@@ -12,9 +14,12 @@
 internal sealed class Exchange(
     val attempt: AttemptId,
     val request: Request,
+    val upstream: Upstream,
     private val http: HttpRequest,
     private val output: UpstreamOutput,
 ) {
+    private val isEnded = AtomicBoolean()
+
     @Volatile private var isAborted = false
 
     @Volatile private var mayHaveSent = false
@@ -36,17 +41,25 @@
             .send(::onComplete)
     }
 
-    fun abort() {
+    /** Closes the exchange; returns whether it had not ended by itself before. */
+    fun abort(): Boolean {
         isAborted = true
         http.abort(ABORTED)
+        return isEnded.compareAndSet(false, true)
     }
 
+    /** Hands on [event], after which the exchange goes on. */
     protected fun emit(event: UpstreamEvent) {
-        if (!isAborted) output.event(request, event)
+        if (!isAborted) output.event(request, upstream, event)
+    }
+
+    /** Hands on [event], which ends the exchange; only the first end counts. */
+    protected fun end(event: UpstreamEvent) {
+        if (isEnded.compareAndSet(false, true)) output.event(request, upstream, event)
     }
 
     protected fun lose(cause: LossCause) {
-        emit(UpstreamEvent.Lost(attempt, cause, mayHaveSent))
+        end(UpstreamEvent.Lost(attempt, cause, mayHaveSent))
     }
 
     protected fun close() {
--- a/library/src/main/kotlin/org/bilberrycart/dispatch/StreamExchange.kt
+++ b/library/src/main/kotlin/org/bilberrycart/dispatch/StreamExchange.kt
@@ -3,15 +3,17 @@
 import org.bilberrycart.model.AttemptId
 import org.bilberrycart.model.LossCause
 import org.bilberrycart.model.Request
+import org.bilberrycart.model.Upstream
 import org.eclipse.jetty.client.Request as HttpRequest
 
 /** An exchange whose response is an engine's event stream. */
 internal class StreamExchange(
     attempt: AttemptId,
     request: Request,
+    upstream: Upstream,
     http: HttpRequest,
     output: UpstreamOutput,
-) : Exchange(attempt, request, http, output) {
+) : Exchange(attempt, request, upstream, http, output) {
     private val reader = EventStreamReader()
 
     @Volatile private var status = 0
@@ -36,7 +38,7 @@
     private fun take(event: EventStreamReader.StreamEvent) {
         val decoded = EngineMessages.decode(attempt, event)
         isOver = decoded is UpstreamEvent.Finished || decoded is UpstreamEvent.Lost
-        emit(decoded)
+        if (isOver) end(decoded) else emit(decoded)
         if (decoded is UpstreamEvent.Finished) close()
     }
 
--- a/library/src/main/kotlin/org/bilberrycart/dispatch/UpstreamClient.kt
+++ b/library/src/main/kotlin/org/bilberrycart/dispatch/UpstreamClient.kt
@@ -57,7 +57,7 @@
         val http = client.newRequest(upstream.uri("/v1/streams"))
             .method(HttpMethod.POST)
             .body(StringRequestContent(JSON, body))
-        start(StreamExchange(placement.attempt, request, http, output))
+        start(StreamExchange(placement.attempt, request, upstream, http, output))
     }
 
     private fun call(attempt: AttemptId, request: ServiceCall, upstream: Upstream) {
@@ -72,14 +72,16 @@
                 request.key?.let { headers.put(KEY_HEADER, it.value) }
             }
             .body(StringRequestContent(JSON, request.body))
-        start(CallExchange(attempt, request, http, output, settings.maxReplyBytes))
+        start(
+            CallExchange(attempt, request, upstream, http, output, settings.maxReplyBytes),
+        )
     }
 
     private fun reopen(action: DispatchAction.Reopen) {
         val old = exchanges[action.attempt] ?: return
         old.abort()
         val http = fresh(action.upstream, "/v1/streams/${action.attempt}?from=${action.from}")
-        start(StreamExchange(action.attempt, old.request, http, output))
+        start(StreamExchange(action.attempt, old.request, old.upstream, http, output))
     }
 
     private fun start(exchange: Exchange) {
@@ -90,7 +92,7 @@
     private fun abort(attempt: AttemptId, upstream: Upstream) {
         val exchange = exchanges[attempt] ?: return
         exchanges = exchanges.remove(attempt)
-        exchange.abort()
+        if (exchange.abort()) output.aborted(attempt, exchange.request, upstream)
         if (exchange.request is GenerationRequest) {
             fresh(upstream, "/v1/streams/$attempt")
                 .method(HttpMethod.DELETE)
@@ -105,7 +107,7 @@
             .timeout(settings.probeTimeout.inWholeMilliseconds, TimeUnit.MILLISECONDS)
             .send { result ->
                 val isAlive = result.isSucceeded && result.response.status == STATUS_OK
-                output.event(exchange.request, UpstreamEvent.Probed(attempt, isAlive))
+                output.event(exchange.request, upstream, UpstreamEvent.Probed(attempt, isAlive))
             }
     }
 
--- a/library/src/main/kotlin/org/bilberrycart/dispatch/UpstreamOutput.kt
+++ b/library/src/main/kotlin/org/bilberrycart/dispatch/UpstreamOutput.kt
@@ -13,8 +13,11 @@
     /** The attempt was not sent at all. */
     public fun notSent(action: DispatchAction.NotSent)
 
-    /** [event] came for an attempt of [request]. */
-    public fun event(request: Request, event: UpstreamEvent)
+    /** [event] came from [upstream] for an attempt of [request]. */
+    public fun event(request: Request, upstream: Upstream, event: UpstreamEvent)
+
+    /** The node stopped [attempt] of [request] on [upstream] before it ended by itself. */
+    public fun aborted(attempt: AttemptId, request: Request, upstream: Upstream)
 
     /** The exchange of [attempt] ended by itself. */
     public fun closed(attempt: AttemptId)
--- a/library/src/main/kotlin/org/bilberrycart/node/NodeDuties.kt
+++ b/library/src/main/kotlin/org/bilberrycart/node/NodeDuties.kt
@@ -1,34 +1,44 @@
 package org.bilberrycart.node
 
+import java.util.UUID
 import kotlin.random.Random
 import org.bilberrycart.admission.AdmissionFilter
 import org.bilberrycart.admission.AdmissionState
 import org.bilberrycart.dispatch.DispatchFilter
 import org.bilberrycart.dispatch.DispatchState
 import org.bilberrycart.dispatch.UpstreamClient
+import org.bilberrycart.health.HealthFilter
+import org.bilberrycart.health.HealthState
+import org.bilberrycart.idempotency.IdempotencyFilter
+import org.bilberrycart.idempotency.IdempotencyState
 import org.bilberrycart.journal.JournalFilter
 import org.bilberrycart.journal.JournalState
-import org.bilberrycart.model.DataCentreId
 import org.bilberrycart.pipeline.Clock
 import org.bilberrycart.pipeline.Duty
 import org.bilberrycart.pipeline.Filter
 import org.bilberrycart.pipeline.Ring
 import org.bilberrycart.pipeline.Shards
 import org.bilberrycart.pipeline.Sink
+import org.bilberrycart.platform.PlatformFilter
+import org.bilberrycart.platform.PlatformSink
+import org.bilberrycart.platform.PlatformState
+import org.bilberrycart.platform.TableClient
 import org.bilberrycart.release.ReleaseFilter
 import org.bilberrycart.release.ReleaseSettings
 import org.bilberrycart.release.ReleaseState
 import org.bilberrycart.replication.SoloFilter
 import org.bilberrycart.routing.RoutingFilter
 import org.bilberrycart.routing.RoutingState
+import org.bilberrycart.settings.NodeSettings
 
 /** The duties of the pipeline, one thread each, in the order in which a request meets them. */
 internal class NodeDuties(
-    dataCentre: DataCentreId,
+    settings: NodeSettings,
     releaseSettings: ReleaseSettings,
     private val rings: NodeRings,
     private val sinks: NodeSinks,
     private val client: UpstreamClient,
+    private val table: TableClient,
     private val clock: Clock,
     private val observer: NodeObserver,
 ) : AutoCloseable {
@@ -39,10 +49,20 @@
         filter = AdmissionFilter(),
         sink = sinks::admission,
     )
+    val idempotency = duty(
+        name = "idempotency",
+        ring = rings.idempotency,
+        initial = IdempotencyState(
+            instance = "${settings.vm}-${UUID.randomUUID()}",
+            seed = Random.nextLong(),
+        ),
+        filter = IdempotencyFilter(),
+        sink = sinks::idempotency,
+    )
     val routing = duty(
         name = "routing",
         ring = rings.routing,
-        initial = RoutingState(dataCentre, seed = Random.nextLong()),
+        initial = RoutingState(settings.dataCentre, seed = Random.nextLong()),
         filter = RoutingFilter(),
         sink = sinks::routing,
     )
@@ -53,6 +73,20 @@
         filter = DispatchFilter(),
         sink = client,
     )
+    val health = duty(
+        name = "health",
+        ring = rings.health,
+        initial = HealthState(),
+        filter = HealthFilter(),
+        sink = sinks::health,
+    )
+    val platform = duty(
+        name = "platform",
+        ring = rings.platform,
+        initial = PlatformState(seed = Random.nextLong()),
+        filter = PlatformFilter(),
+        sink = PlatformSink(table, rings.platform, sinks::platformResult),
+    )
     val journal =
         shards("journal", rings.journal, JournalState(), JournalFilter(), sinks::journal)
     val replication =
@@ -66,7 +100,15 @@
     )
 
     private val all: List<Duty<*, *, *>> =
-        listOf(admission, routing, dispatch) + journal + replication + release
+        listOf(
+            admission,
+            idempotency,
+            routing,
+            dispatch,
+            health,
+            platform,
+        ) + journal + replication +
+            release
 
     fun start(): Unit = all.forEach { it.start() }
 
--- a/library/src/main/kotlin/org/bilberrycart/node/NodeRings.kt
+++ b/library/src/main/kotlin/org/bilberrycart/node/NodeRings.kt
@@ -2,10 +2,13 @@
 
 import org.bilberrycart.admission.AdmissionEvent
 import org.bilberrycart.dispatch.DispatchEvent
+import org.bilberrycart.health.HealthEvent
+import org.bilberrycart.idempotency.IdempotencyEvent
 import org.bilberrycart.journal.JournalEvent
 import org.bilberrycart.pipeline.Ring
 import org.bilberrycart.pipeline.RingStats
 import org.bilberrycart.pipeline.Shards
+import org.bilberrycart.platform.PlatformEvent
 import org.bilberrycart.release.ReleaseEvent
 import org.bilberrycart.replication.ReplicationEvent
 import org.bilberrycart.routing.RoutingEvent
@@ -24,6 +27,9 @@
 
     val admission = Ring<AdmissionEvent>("admission", control + ARRIVALS, reserve = control)
     val routing = Ring<RoutingEvent>("routing", control + REPORTS, reserve = control)
+    val idempotency = Ring<IdempotencyEvent>("idempotency", control)
+    val platform = Ring<PlatformEvent>("platform", control + REPORTS, reserve = control)
+    val health = Ring<HealthEvent>("health", REPORTS)
     val dispatch = Ring<DispatchEvent>("dispatch", control)
     val journal =
         Shards<JournalEvent>("journal", limits.shards, control + TOKENS, reserve = control)
@@ -32,8 +38,8 @@
     val release =
         Shards<ReleaseEvent>("release", limits.shards, control + TOKENS, reserve = control)
 
-    private val all: List<Ring<*>> = listOf(admission, routing, dispatch) +
-        journal.rings + replication.rings + release.rings
+    private val all: List<Ring<*>> = listOf(admission, idempotency, routing, dispatch) +
+        listOf(platform, health) + journal.rings + replication.rings + release.rings
 
     fun stats(): List<RingStats> = all.map { it.stats() }
 
--- a/library/src/main/kotlin/org/bilberrycart/node/NodeSinks.kt
+++ b/library/src/main/kotlin/org/bilberrycart/node/NodeSinks.kt
@@ -3,7 +3,13 @@
 import org.bilberrycart.admission.AdmissionAction
 import org.bilberrycart.admission.AdmissionEvent
 import org.bilberrycart.dispatch.DispatchEvent
+import org.bilberrycart.health.HealthAction
+import org.bilberrycart.health.LoadClient
 import org.bilberrycart.http.Callers
+import org.bilberrycart.idempotency.IdempotencyAction
+import org.bilberrycart.idempotency.IdempotencyContext
+import org.bilberrycart.idempotency.IdempotencyEvent
+import org.bilberrycart.idempotency.IdempotencyStore
 import org.bilberrycart.journal.JournalAction
 import org.bilberrycart.journal.JournalEvent
 import org.bilberrycart.model.AnswerPart
@@ -13,6 +19,8 @@
 import org.bilberrycart.model.Request
 import org.bilberrycart.model.ResultCode
 import org.bilberrycart.model.ServiceCall
+import org.bilberrycart.platform.StoreContext
+import org.bilberrycart.platform.StoreResult
 import org.bilberrycart.release.ReleaseAction
 import org.bilberrycart.release.ReleaseEvent
 import org.bilberrycart.replication.ReplicationAction
@@ -25,9 +33,12 @@
 internal class NodeSinks(
     private val rings: NodeRings,
     private val callers: Callers,
+    private val loads: LoadClient,
     private val observer: NodeObserver,
     private val fleet: () -> FleetSettings,
 ) {
+    private val store = IdempotencyStore()
+
     fun admission(action: AdmissionAction) {
         when (action) {
             is AdmissionAction.Admit -> admit(action.request)
@@ -46,7 +57,37 @@
                 val first = AttemptId(request.id, epoch = 1, number = 1)
                 rings.routing.put(RoutingEvent.Place(Placement(first, request)))
             }
-            is ServiceCall -> Unit
+            is ServiceCall -> rings.idempotency.put(IdempotencyEvent.Arrived(request))
+        }
+    }
+
+    fun idempotency(action: IdempotencyAction) {
+        when (action) {
+            is IdempotencyAction.Store -> rings.platform.put(store.toCall(action))
+            is IdempotencyAction.Place -> rings.routing.put(RoutingEvent.Place(action.placement))
+            is IdempotencyAction.Cancel ->
+                rings.dispatch.put(DispatchEvent.Cancel(action.attempt))
+            is IdempotencyAction.Deliver -> rings.release.of(action.request)
+                .put(ReleaseEvent.Ended(action.request, action.part))
+        }
+    }
+
+    fun platformResult(context: StoreContext, result: StoreResult) {
+        when (context) {
+            is IdempotencyContext -> rings.idempotency.put(store.toEvent(context, result))
+        }
+    }
+
+    fun health(action: HealthAction) {
+        when (action) {
+            is HealthAction.Poll -> loads.poll(action.upstream)
+            is HealthAction.Report ->
+                rings.routing.offer(RoutingEvent.LoadReported(action.upstream, action.load))
+            is HealthAction.Leaving -> {
+                rings.dispatch.put(DispatchEvent.Leaving(action.upstream))
+                rings.routing.put(RoutingEvent.Leaving(action.upstream, action.incarnation))
+            }
+            is HealthAction.Returned -> rings.dispatch.put(DispatchEvent.Returned(action.upstream))
         }
     }
 
@@ -67,7 +108,9 @@
         when (action.request) {
             is GenerationRequest -> rings.journal.of(action.request.id)
                 .put(JournalEvent.Unplaceable(action.attempt, action.code))
-            is ServiceCall -> Unit
+            is ServiceCall -> rings.idempotency.put(
+                IdempotencyEvent.Unplaceable(action.attempt, action.code),
+            )
         }
     }
 
--- a/library/src/main/kotlin/org/bilberrycart/node/UpstreamRelay.kt
+++ b/library/src/main/kotlin/org/bilberrycart/node/UpstreamRelay.kt
@@ -4,39 +4,61 @@
 import org.bilberrycart.dispatch.DispatchEvent
 import org.bilberrycart.dispatch.UpstreamEvent
 import org.bilberrycart.dispatch.UpstreamOutput
+import org.bilberrycart.idempotency.IdempotencyEvent
 import org.bilberrycart.journal.JournalEvent
 import org.bilberrycart.model.AttemptId
+import org.bilberrycart.model.AttemptOutcome
 import org.bilberrycart.model.GenerationRequest
 import org.bilberrycart.model.Placement
 import org.bilberrycart.model.Request
 import org.bilberrycart.model.ServiceCall
 import org.bilberrycart.model.Upstream
+import org.bilberrycart.routing.RoutingEvent
 
-/** Puts what upstreams bring into the ring of the filter that owns the request. */
+/**
+ * Puts what upstreams bring into the ring of the filter that owns the request.
+ *
+ * The journal reports the end of its attempts to routing itself; the end of a call's attempt is
+ * reported from here.
+ */
 internal class UpstreamRelay(private val rings: NodeRings) : UpstreamOutput {
     override fun placed(placement: Placement, upstream: Upstream) {
+        val attempt = placement.attempt
         when (val request = placement.request) {
-            is GenerationRequest -> rings.journal.of(request.id)
-                .put(JournalEvent.Placed(placement.attempt, upstream.id))
-            is ServiceCall -> Unit
+            is GenerationRequest ->
+                rings.journal.of(request.id).put(JournalEvent.Placed(attempt, upstream.id))
+            is ServiceCall -> rings.idempotency.put(IdempotencyEvent.Placed(attempt, upstream.id))
         }
     }
 
     override fun notSent(action: DispatchAction.NotSent) {
+        val attempt = action.attempt
         when (val request = action.request) {
             is GenerationRequest -> {
                 val ring = rings.journal.of(request.id)
-                ring.put(JournalEvent.Placed(action.attempt, action.upstream.id))
-                ring.put(JournalEvent.AttemptLost(action.attempt, action.cause))
+                ring.put(JournalEvent.Placed(attempt, action.upstream.id))
+                ring.put(JournalEvent.AttemptLost(attempt, action.cause))
+            }
+            is ServiceCall -> {
+                rings.idempotency.put(
+                    IdempotencyEvent.Lost(attempt, action.cause, mayHaveRun = false),
+                )
+                report(attempt, action.upstream, AttemptOutcome.Lost(action.cause))
             }
-            is ServiceCall -> Unit
         }
     }
 
-    override fun event(request: Request, event: UpstreamEvent) {
+    override fun event(request: Request, upstream: Upstream, event: UpstreamEvent) {
         when (request) {
             is GenerationRequest -> journal(event)
-            is ServiceCall -> Unit
+            is ServiceCall -> idempotency(upstream, event)
+        }
+    }
+
+    override fun aborted(attempt: AttemptId, request: Request, upstream: Upstream) {
+        when (request) {
+            is GenerationRequest -> Unit
+            is ServiceCall -> report(attempt, upstream, AttemptOutcome.Cancelled)
         }
     }
 
@@ -59,4 +81,30 @@
             is UpstreamEvent.Replied -> Unit
         }
     }
+
+    private fun idempotency(upstream: Upstream, event: UpstreamEvent) {
+        when (event) {
+            is UpstreamEvent.Replied -> {
+                rings.idempotency.put(
+                    IdempotencyEvent.Answered(event.attempt, event.status, event.body),
+                )
+                report(event.attempt, upstream, AttemptOutcome.Completed)
+            }
+            is UpstreamEvent.Lost -> {
+                rings.idempotency.put(
+                    IdempotencyEvent.Lost(event.attempt, event.cause, event.bytesSent),
+                )
+                report(event.attempt, upstream, AttemptOutcome.Lost(event.cause))
+            }
+            is UpstreamEvent.Accepted,
+            is UpstreamEvent.TokenArrived,
+            is UpstreamEvent.Finished,
+            is UpstreamEvent.Probed,
+            -> Unit
+        }
+    }
+
+    private fun report(attempt: AttemptId, upstream: Upstream, outcome: AttemptOutcome) {
+        rings.routing.put(RoutingEvent.AttemptEnded(attempt, upstream.id, outcome))
+    }
 }
--- a/library/src/main/kotlin/org/bilberrycart/routing/LoadReport.kt
+++ b/library/src/main/kotlin/org/bilberrycart/routing/LoadReport.kt
@@ -1,5 +1,7 @@
 package org.bilberrycart.routing
 
+import kotlinx.serialization.Serializable
+
 /**
  * The load of an upstream by its own word.
  *
@@ -8,6 +10,7 @@
  * @property incarnation rises by one at each start of the upstream.
  * @property leaving whether the upstream wants no new work.
  */
+@Serializable
 public data class LoadReport(
     val slots: Int,
     val running: Int,
