Run all decisions of a node under seeds, with faults and a test clock

Cause: the joined filters need randomised runs of the same wiring that a node has. Change: Pipeline holds filters, rings and sinks without connections; PipelinePorts are its edges; Duty.stepHeld steps an unstarted duty; bench.pipeline steps duties in seeded order with fake engines that die, pause, go silent, skip and repeat, and callers that vanish, return and cancel.

--- /dev/null
+++ b/bench/src/main/kotlin/org/bilberrycart/bench/pipeline/PipelineRun.kt
@@ -0,0 +1,201 @@
+package org.bilberrycart.bench.pipeline
+
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TestTimeSource
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+import org.bilberrycart.bench.trial.TrialSettings
+import org.bilberrycart.dispatch.DispatchAction
+import org.bilberrycart.dispatch.UpstreamOutput
+import org.bilberrycart.health.HealthEvent
+import org.bilberrycart.journal.JournalAction
+import org.bilberrycart.model.AnswerPart
+import org.bilberrycart.model.Fingerprint
+import org.bilberrycart.model.GenerationRequest
+import org.bilberrycart.model.RequestClass
+import org.bilberrycart.model.RequestId
+import org.bilberrycart.model.Sampling
+import org.bilberrycart.model.Upstream
+import org.bilberrycart.node.NodeObserver
+import org.bilberrycart.node.Pipeline
+import org.bilberrycart.node.PipelinePorts
+import org.bilberrycart.pipeline.Clock
+import org.bilberrycart.pipeline.Ring
+import org.bilberrycart.pipeline.Sink
+import org.bilberrycart.platform.AbsentTableClient
+import org.bilberrycart.platform.TableClient
+
+/**
+ * One randomised run of all decisions of a node, under a test clock and with fake engines.
+ *
+ * The duties are not started: [seed] decides which of them steps next, which engine sends, which
+ * fault happens and how time passes. The same seed gives the same run.
+ */
+internal class PipelineRun(private val seed: Long, isTraced: Boolean = false) :
+    PipelinePorts,
+    NodeObserver {
+    private val random = Random(seed)
+    private val time = TestTimeSource()
+    private val clock = Clock(time)
+    private val watch = RunWatch(isTraced)
+    private val fleet = TrialSettings.settings(List(ENGINES) { it + 1 }, SLOTS)
+    private val engineList = fleet.fleet.declaredUpstreams().sortedBy { it.id.value }
+    private lateinit var engines: FakeEngines
+    private val pipeline = Pipeline(fleet, clock, ports = this, observer = this, seed = seed)
+    private var callers: PersistentList<FakeCaller> = persistentListOf()
+    private var faults = 0L
+
+    override val table: TableClient
+        get() = AbsentTableClient
+
+    override fun upstreams(output: UpstreamOutput): Sink<DispatchAction> =
+        FakeEngines(random, output, watch).also { engines = it }
+
+    override fun loads(ring: Ring<HealthEvent>): Sink<Upstream> = Sink { upstream ->
+        if (upstream.id in engines.left) ring.offer(HealthEvent.LeavingHeard(upstream.id, 1))
+    }
+
+    override fun journal(action: JournalAction) {
+        watch.trace { "journal: $action" }
+    }
+
+    override fun failure(duty: String, cause: Exception): Unit =
+        watch.check(false) { "$duty failed: $cause" }
+
+    override fun close(): Unit = pipeline.close()
+
+    /** Runs, lets everything settle, and checks. */
+    fun run(): PipelineReport = use {
+        pipeline.configure(fleet.fleet)
+        repeat(STEPS) { act() }
+        settle()
+        checkSettled()
+        report()
+    }
+
+    /** The trace, if the run was asked to keep it. */
+    val trace: List<String>
+        get() = watch.lines
+
+    private fun act() {
+        when (random.nextInt(PER_MILLE)) {
+            in 0 until 560 -> stepDuty()
+            in 560 until 860 -> engines.act()
+            in 860 until 930 -> pass((1 + random.nextInt(MAX_STEP_MILLIS)).milliseconds)
+            in 930 until 980 -> callers.randomOrNull(random)?.take()
+            in 980 until 986 -> ask()
+            in 986 until 992 -> callerFault()
+            in 992 until 998 -> fault()
+            else -> pass(random.nextInt(MAX_JUMP_MILLIS).milliseconds)
+        }
+    }
+
+    private fun stepDuty() {
+        val ready = pipeline.duties.filter { it.ring.stats().held > 0 }
+        ready.randomOrNull(random)?.stepHeld()
+    }
+
+    private fun pass(step: Duration) {
+        time += step
+        pipeline.ticks.forEach { it.fire() }
+    }
+
+    private fun ask() {
+        if (callers.size >= MAX_CALLERS) return
+        val number = callers.size
+        val request = GenerationRequest(
+            id = RequestId("r$seed-$number"),
+            organisation = TrialSettings.ORGANISATION,
+            service = TrialSettings.SERVICE,
+            requestClass = RequestClass.entries.random(random),
+            fingerprint = Fingerprint("f$number"),
+            arrivedAt = clock.now(),
+            deadline = clock.now() + DEADLINE,
+            model = TrialSettings.MODEL,
+            prompt = "p$number",
+            sampling = Sampling(maxTokens = 1 + random.nextInt(MAX_TOKENS)),
+        )
+        val caller = FakeCaller(request, pipeline.frontEnd, pipeline.callers, watch)
+        callers = callers.add(caller)
+        caller.submit()
+    }
+
+    private fun callerFault() {
+        val caller = callers.randomOrNull(random) ?: return
+        faults++
+        when (random.nextInt(CALLER_FAULTS)) {
+            0 -> caller.cancel()
+            in 1..3 -> caller.vanish()
+            else -> caller.comeBack()
+        }
+    }
+
+    private fun fault() {
+        faults++
+        engines.fault(FakeFault.entries.random(random), engineList)
+    }
+
+    private fun settle() {
+        engines.heal(engineList)
+        callers.forEach { it.comeBack() }
+        repeat(SETTLE_ROUNDS) {
+            if (isSettled()) return
+            repeat(STEPS_PER_ROUND) { stepDuty() }
+            repeat(SENDS_PER_ROUND) { engines.act() }
+            callers.forEach { it.take() }
+            pass(SETTLE_STEP)
+        }
+    }
+
+    private fun isSettled(): Boolean = callers.all { it.end != null } &&
+        engines.isIdle &&
+        pipeline.ringStats.all { it.held == 0 }
+
+    private fun checkSettled() {
+        callers.forEach { caller ->
+            watch.check(caller.end != null) { "${caller.request.id} has no end" }
+        }
+        watch.check(engines.isIdle) { "an engine still runs a stream" }
+        watch.check(pipeline.dispatch.open.isEmpty()) { "open: ${pipeline.dispatch.open.keys}" }
+        watch.check(pipeline.admission.requests.isEmpty()) {
+            "admitted: ${pipeline.admission.requests.keys}"
+        }
+        watch.check(pipeline.routing.attempts.isEmpty()) {
+            "in flight: ${pipeline.routing.attempts.keys}"
+        }
+        watch.check(pipeline.journals.all { it.size == 0 }) { "a journal is left" }
+        pipeline.ringStats.forEach { ring ->
+            watch.check(ring.isBalanced) { "ring ${ring.name} lost or made items: $ring" }
+        }
+    }
+
+    private fun report() = PipelineReport(
+        seeds = 1,
+        requests = callers.size.toLong(),
+        tokens = callers.sumOf { it.received.toLong() },
+        faults = faults,
+        whole = callers.count { it.end is AnswerPart.Finished }.toLong(),
+        refused = callers.count { it.end is AnswerPart.Failed }.toLong(),
+        violations = watch.violations.map { SeedViolation(seed, it, trace) },
+    )
+
+    private companion object {
+        const val ENGINES = 4
+        const val SLOTS = 4
+        const val STEPS = 6_000
+        const val PER_MILLE = 1_000
+        const val MAX_STEP_MILLIS = 8
+        const val MAX_JUMP_MILLIS = 600
+        const val MAX_CALLERS = 16
+        const val MAX_TOKENS = 40
+        const val CALLER_FAULTS = 8
+        const val SETTLE_ROUNDS = 4_000
+        const val STEPS_PER_ROUND = 40
+        const val SENDS_PER_ROUND = 10
+        val DEADLINE = 40.seconds
+        val SETTLE_STEP = 20.milliseconds
+    }
+}
--- a/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
@@ -14,6 +14,7 @@
     .subcommands(
         ServeCommand(),
         TryCommand(),
+        SoakCommand().subcommands(SoakPipelineCommand()),
         ConfigCommand(),
         StandInCommand().subcommands(StandInEngineCommand()),
     )
--- a/library/src/main/kotlin/org/bilberrycart/health/LoadClient.kt
+++ b/library/src/main/kotlin/org/bilberrycart/health/LoadClient.kt
@@ -6,6 +6,7 @@
 import kotlinx.serialization.json.Json
 import org.bilberrycart.model.Upstream
 import org.bilberrycart.pipeline.Ring
+import org.bilberrycart.pipeline.Sink
 import org.bilberrycart.routing.LoadReport
 import org.eclipse.jetty.client.BufferingResponseListener
 import org.eclipse.jetty.client.HttpClient
@@ -15,18 +16,19 @@
 public class LoadClient(
     private val ring: Ring<HealthEvent>,
     private val timeout: Duration = 500.milliseconds,
-) : AutoCloseable {
+) : Sink<Upstream>,
+    AutoCloseable {
     private val json = Json { ignoreUnknownKeys = true }
     private val client = HttpClient().apply { start() }
 
-    /** Polls [upstream] without waiting for it. */
-    public fun poll(upstream: Upstream) {
+    /** Polls the upstream [action] without waiting for it. */
+    override fun accept(action: Upstream) {
         val listener = object : BufferingResponseListener(MAX_REPLY_BYTES) {
             override fun onComplete(result: Result) {
-                ring.offer(toEvent(upstream, result, contentAsString.orEmpty()))
+                ring.offer(toEvent(action, result, contentAsString.orEmpty()))
             }
         }
-        client.newRequest("http://${upstream.address}:${upstream.port}/v1/load")
+        client.newRequest("http://${action.address}:${action.port}/v1/load")
             .timeout(timeout.inWholeMilliseconds, TimeUnit.MILLISECONDS)
             .send(listener)
     }
--- a/library/src/main/kotlin/org/bilberrycart/node/NodeDuties.kt
+++ b/library/src/main/kotlin/org/bilberrycart/node/NodeDuties.kt
@@ -1,12 +1,11 @@
 package org.bilberrycart.node
 
 import java.util.UUID
-import kotlin.random.Random
 import org.bilberrycart.admission.AdmissionFilter
 import org.bilberrycart.admission.AdmissionState
+import org.bilberrycart.dispatch.DispatchAction
 import org.bilberrycart.dispatch.DispatchFilter
 import org.bilberrycart.dispatch.DispatchState
-import org.bilberrycart.dispatch.UpstreamClient
 import org.bilberrycart.health.HealthFilter
 import org.bilberrycart.health.HealthState
 import org.bilberrycart.idempotency.IdempotencyFilter
@@ -35,13 +34,14 @@
 internal class NodeDuties(
     settings: NodeSettings,
     releaseSettings: ReleaseSettings,
-    private val rings: NodeRings,
-    private val sinks: NodeSinks,
-    private val client: UpstreamClient,
-    private val table: TableClient,
+    rings: NodeRings,
+    sinks: NodeSinks,
+    upstreams: Sink<DispatchAction>,
+    table: TableClient,
     private val clock: Clock,
     private val observer: NodeObserver,
-) : AutoCloseable {
+    seed: Long,
+) {
     val admission = duty(
         name = "admission",
         ring = rings.admission,
@@ -54,7 +54,7 @@
         ring = rings.idempotency,
         initial = IdempotencyState(
             instance = "${settings.vm}-${UUID.randomUUID()}",
-            seed = Random.nextLong(),
+            seed = seed,
         ),
         filter = IdempotencyFilter(),
         sink = sinks::idempotency,
@@ -62,7 +62,7 @@
     val routing = duty(
         name = "routing",
         ring = rings.routing,
-        initial = RoutingState(settings.dataCentre, seed = Random.nextLong()),
+        initial = RoutingState(settings.dataCentre, seed = seed),
         filter = RoutingFilter(),
         sink = sinks::routing,
     )
@@ -71,7 +71,7 @@
         ring = rings.dispatch,
         initial = DispatchState(),
         filter = DispatchFilter(),
-        sink = client,
+        sink = upstreams,
     )
     val health = duty(
         name = "health",
@@ -83,7 +83,7 @@
     val platform = duty(
         name = "platform",
         ring = rings.platform,
-        initial = PlatformState(seed = Random.nextLong()),
+        initial = PlatformState(seed = seed),
         filter = PlatformFilter(),
         sink = PlatformSink(table, rings.platform, sinks::platformResult),
     )
@@ -99,7 +99,7 @@
         sink = sinks::release,
     )
 
-    private val all: List<Duty<*, *, *>> =
+    val all: List<Duty<*, *, *>> =
         listOf(
             admission,
             idempotency,
@@ -110,13 +110,6 @@
         ) + journal + replication +
             release
 
-    fun start(): Unit = all.forEach { it.start() }
-
-    override fun close() {
-        rings.close()
-        all.forEach { it.close() }
-    }
-
     private fun <S : Any, E : Any, A : Any> shards(
         name: String,
         shards: Shards<E>,
--- a/library/src/main/kotlin/org/bilberrycart/node/NodeSinks.kt
+++ b/library/src/main/kotlin/org/bilberrycart/node/NodeSinks.kt
@@ -4,7 +4,6 @@
 import org.bilberrycart.admission.AdmissionEvent
 import org.bilberrycart.dispatch.DispatchEvent
 import org.bilberrycart.health.HealthAction
-import org.bilberrycart.health.LoadClient
 import org.bilberrycart.http.Callers
 import org.bilberrycart.idempotency.IdempotencyAction
 import org.bilberrycart.idempotency.IdempotencyContext
@@ -19,6 +18,8 @@
 import org.bilberrycart.model.Request
 import org.bilberrycart.model.ResultCode
 import org.bilberrycart.model.ServiceCall
+import org.bilberrycart.model.Upstream
+import org.bilberrycart.pipeline.Sink
 import org.bilberrycart.platform.StoreContext
 import org.bilberrycart.platform.StoreResult
 import org.bilberrycart.release.ReleaseAction
@@ -33,7 +34,7 @@
 internal class NodeSinks(
     private val rings: NodeRings,
     private val callers: Callers,
-    private val loads: LoadClient,
+    private val loads: Sink<Upstream>,
     private val observer: NodeObserver,
     private val fleet: () -> FleetSettings,
 ) {
@@ -80,7 +81,7 @@
 
     fun health(action: HealthAction) {
         when (action) {
-            is HealthAction.Poll -> loads.poll(action.upstream)
+            is HealthAction.Poll -> loads.accept(action.upstream)
             is HealthAction.Report ->
                 rings.routing.offer(RoutingEvent.LoadReported(action.upstream, action.load))
             is HealthAction.Leaving -> {
--- /dev/null
+++ b/library/src/main/kotlin/org/bilberrycart/node/Pipeline.kt
@@ -0,0 +1,122 @@
+package org.bilberrycart.node
+
+import java.util.concurrent.atomic.AtomicReference
+import kotlin.random.Random
+import org.bilberrycart.admission.AdmissionEvent
+import org.bilberrycart.admission.AdmissionState
+import org.bilberrycart.dispatch.DispatchState
+import org.bilberrycart.health.HealthEvent
+import org.bilberrycart.http.Callers
+import org.bilberrycart.http.FrontEnd
+import org.bilberrycart.idempotency.IdempotencyEvent
+import org.bilberrycart.journal.JournalEvent
+import org.bilberrycart.journal.JournalState
+import org.bilberrycart.pipeline.Clock
+import org.bilberrycart.pipeline.Duty
+import org.bilberrycart.pipeline.RingStats
+import org.bilberrycart.platform.PlatformEvent
+import org.bilberrycart.release.ReleaseEvent
+import org.bilberrycart.release.ReleaseSettings
+import org.bilberrycart.replication.ReplicationEvent
+import org.bilberrycart.routing.RoutingEvent
+import org.bilberrycart.routing.RoutingState
+import org.bilberrycart.settings.FleetSettings
+import org.bilberrycart.settings.Settings
+import org.bilberrycart.timer.Ticker
+
+/**
+ * The filters of one node, their duties and the rings between them, without any connection.
+ *
+ * A [Node] starts the duties. A randomised run leaves them unstarted and steps each of [duties] as
+ * it likes, under its own clock.
+ *
+ * @param seed the seed of all random choices of the filters.
+ */
+public class Pipeline(
+    settings: Settings,
+    clock: Clock,
+    ports: PipelinePorts,
+    observer: NodeObserver = NodeObserver.None,
+    seed: Long = Random.nextLong(),
+) : AutoCloseable {
+    private val fleet = AtomicReference(settings.fleet)
+    private val releaseSettings = ReleaseSettings()
+    private val rings = NodeRings(settings.fleet.limits)
+
+    /** The callers that are connected. */
+    public val callers: Callers = Callers(releaseSettings.outboxParts)
+
+    /** The door for requests. */
+    public val frontEnd: FrontEnd = PipelineFrontEnd(rings, clock, fleet::get)
+
+    private val parts = NodeDuties(
+        settings = settings.node,
+        releaseSettings = releaseSettings,
+        rings = rings,
+        sinks = NodeSinks(rings, callers, ports.loads(rings.health), observer, fleet::get),
+        upstreams = ports.upstreams(UpstreamRelay(rings)),
+        table = ports.table,
+        clock = clock,
+        observer = observer,
+        seed = seed,
+    )
+
+    /** The duties, in the order in which a request meets them. */
+    public val duties: List<Duty<*, *, *>> = parts.all
+
+    /** What each duty with a periodic decision gets from the timer. */
+    public val ticks: List<Ticker.Target<*>> =
+        listOf(
+            Ticker.Target(rings.admission, AdmissionEvent.Tick),
+            Ticker.Target(rings.idempotency, IdempotencyEvent.Tick),
+            Ticker.Target(rings.routing, RoutingEvent.Tick),
+            Ticker.Target(rings.health, HealthEvent.Tick),
+            Ticker.Target(rings.platform, PlatformEvent.Tick),
+        ) +
+            rings.journal.rings.map { Ticker.Target(it, JournalEvent.Tick) } +
+            rings.replication.rings.map { Ticker.Target(it, ReplicationEvent.Tick) } +
+            rings.release.rings.map { Ticker.Target(it, ReleaseEvent.Tick) }
+
+    /** What admission knows. */
+    public val admission: AdmissionState
+        get() = parts.admission.snapshot
+
+    /** What routing knows. */
+    public val routing: RoutingState
+        get() = parts.routing.snapshot
+
+    /** What dispatch knows. */
+    public val dispatch: DispatchState
+        get() = parts.dispatch.snapshot
+
+    /** What each journal shard knows. */
+    public val journals: List<JournalState>
+        get() = parts.journal.map { it.snapshot }
+
+    /** The counters of all rings. */
+    public val ringStats: List<RingStats>
+        get() = rings.stats()
+
+    /** Starts a thread for each duty. */
+    public fun start(): Unit = duties.forEach { it.start() }
+
+    /** Puts [next] in force for new requests; requests in progress keep what they have. */
+    public fun configure(next: FleetSettings) {
+        val routing = next.routingConfiguration()
+        fleet.set(next)
+        rings.routing.put(routing)
+        rings.health.put(HealthEvent.Configured(routing.upstreams))
+        val organisations = next.organisations.mapValues { it.value.limits }
+        rings.admission.put(AdmissionEvent.Configured(organisations))
+    }
+
+    /** Refuses new requests from now on. */
+    public fun drain() {
+        rings.admission.put(AdmissionEvent.Drain)
+    }
+
+    override fun close() {
+        rings.close()
+        duties.forEach { it.close() }
+    }
+}
--- a/library/src/main/kotlin/org/bilberrycart/pipeline/Duty.kt
+++ b/library/src/main/kotlin/org/bilberrycart/pipeline/Duty.kt
@@ -1,6 +1,7 @@
 package org.bilberrycart.pipeline
 
 import kotlin.concurrent.thread
+import kotlin.time.Duration
 import org.slf4j.LoggerFactory
 
 /**
@@ -36,6 +37,16 @@
         if (worker.isAlive && Thread.currentThread() != worker) worker.join(CLOSE_WAIT_MILLIS)
     }
 
+    /**
+     * Steps at most [limit] events that the ring holds, on the calling thread.
+     *
+     * Only for a duty that is not started: tests and randomised runs choose the order of the steps.
+     */
+    public fun stepHeld(limit: Int = 1) {
+        check(!worker.isAlive) { "duty $name is started and steps itself" }
+        ring.takeAll(limit, wait = Duration.ZERO).forEach(::handle)
+    }
+
     private fun run() {
         while (!ring.isDone()) ring.takeAll().forEach(::handle)
     }
--- a/library/src/main/kotlin/org/bilberrycart/timer/Ticker.kt
+++ b/library/src/main/kotlin/org/bilberrycart/timer/Ticker.kt
@@ -15,7 +15,8 @@
     AutoCloseable {
     /** A [ring] that gets [tick] as an event. */
     public class Target<T : Any>(private val ring: Ring<T>, private val tick: T) {
-        internal fun fire(): Boolean = ring.offer(tick)
+        /** Offers the tick; returns whether the ring had room. */
+        public fun fire(): Boolean = ring.offer(tick)
     }
 
     private val lock = ReentrantLock()
