--- /dev/null
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/LogSetup.kt
@@ -0,0 +1,22 @@
+package org.bilberrycart.daemon
+
+import ch.qos.logback.classic.LoggerContext
+import ch.qos.logback.classic.joran.JoranConfigurator
+import org.bilberrycart.settings.LogFormat
+import org.slf4j.LoggerFactory
+
+/** Sets the form of log lines; they always go to standard error. */
+object LogSetup {
+    /** Uses [format] from now on, for all loggers. */
+    fun use(format: LogFormat) {
+        val resource = LogSetup::class.java.getResource(resourceOf(format))
+        val context = LoggerFactory.getILoggerFactory() as LoggerContext
+        context.reset()
+        JoranConfigurator().apply { this.context = context }.doConfigure(checkNotNull(resource))
+    }
+
+    private fun resourceOf(format: LogFormat): String = when (format) {
+        LogFormat.KEY_VALUE -> "/logback.xml"
+        LogFormat.JSON -> "/logback-json.xml"
+    }
+}
--- a/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
@@ -6,10 +6,6 @@
 
 /** The command line of bilberrycart; each subcommand is a class of its own. */
 class Bilberrycart : CliktCommand(name = "bilberrycart") {
-    init {
-        subcommands(ConfigCommand())
-    }
-
     override fun run() = Unit
 }
 
@@ -17,6 +13,7 @@
 fun main(args: Array<String>) = Bilberrycart()
     .subcommands(
         TryCommand(),
+        ConfigCommand(),
         StandInCommand().subcommands(StandInEngineCommand()),
     )
     .main(args)
