--- a/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
@@ -16,6 +16,6 @@
         TryCommand(),
         SoakCommand().subcommands(SoakPipelineCommand()),
         ConfigCommand(),
-        StandInCommand().subcommands(StandInEngineCommand()),
+        StandInCommand().subcommands(StandInEngineCommand(), StandInServiceCommand()),
     )
     .main(args)
