--- a/library/src/main/kotlin/org/bilberrycart/admission/ServiceLoad.kt
+++ b/library/src/main/kotlin/org/bilberrycart/admission/ServiceLoad.kt
@@ -54,7 +54,13 @@
             RequestClass.LONG_DRAFT -> drafts + 1 - roomForDrafts
             else -> rest + 1 - (usable - runningDrafts)
         }
-        return if (excess <= 0) Duration.ZERO else (excess / endsPerSecond(usable)).seconds
+        return if (excess <=
+            0
+        ) {
+            Duration.ZERO
+        } else {
+            (excess / endsPerSecond(runningDrafts, usable)).seconds
+        }
     }
 
     /** Returns this load after one more request of [requestClass] came. */
@@ -72,15 +78,16 @@
 
     private fun count(requestClass: RequestClass): Int = inFlight[requestClass] ?: 0
 
-    private fun endsPerSecond(usable: Double): Double {
-        val total = inFlight.values.sum()
-        if (total == 0) return usable
-        val running = minOf(1.0, usable / total)
-        return inFlight.entries.sumOf { (key, count) ->
-            count * running / durationOf(key).toDouble(DurationUnit.SECONDS)
-        }
+    private fun endsPerSecond(runningDrafts: Double, usable: Double): Double {
+        val rest = inFlight - RequestClass.LONG_DRAFT
+        val waitingPart = rest.values.sum() / maxOf(1.0, usable - runningDrafts)
+        val ends = rest.entries.sumOf { (key, count) -> count / seconds(key) }
+        return runningDrafts / seconds(RequestClass.LONG_DRAFT) + ends / maxOf(1.0, waitingPart)
     }
 
+    private fun seconds(requestClass: RequestClass): Double =
+        durationOf(requestClass).toDouble(DurationUnit.SECONDS)
+
     private companion object {
         const val NEW_WEIGHT = 0.05
         val FIRST_GUESS = mapOf(
--- a/library/src/main/kotlin/org/bilberrycart/routing/Chooser.kt
+++ b/library/src/main/kotlin/org/bilberrycart/routing/Chooser.kt
@@ -97,6 +97,7 @@
         !candidate.isEjected(now) && candidate.upstream.id !in placement.avoid
 
     private fun hasRoom(candidate: UpstreamState): Boolean {
+        if (candidate.isFull(now)) return false
         val limit = candidate.capacity(now) * (1 - reserved)
         val whole = limit.toInt()
         val part = score(0, candidate).toUInt().toDouble() / UInt.MAX_VALUE.toDouble()
--- a/library/src/main/kotlin/org/bilberrycart/routing/Ejection.kt
+++ b/library/src/main/kotlin/org/bilberrycart/routing/Ejection.kt
@@ -2,6 +2,7 @@
 
 import kotlin.math.ceil
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import org.bilberrycart.model.AttemptOutcome
 import org.bilberrycart.model.LossCause
@@ -10,6 +11,7 @@
 private const val LOSSES_TO_EJECT = 3
 private const val MAX_EJECTED_SHARE = 0.34
 private const val MAX_DOUBLINGS = 4
+private val REFUSAL_PAUSE = 500.milliseconds
 private val FIRST_EJECTION = 5.seconds
 
 /** Returns this state once an attempt on [id] has ended with [outcome]. */
@@ -28,9 +30,7 @@
     cause: LossCause,
     now: Duration,
 ): RoutingState = when (cause) {
-    LossCause.REFUSED -> update(id) {
-        it.copy(others = maxOf(it.others, it.upstream.slots - it.own))
-    }
+    LossCause.REFUSED -> update(id) { it.copy(fullUntil = now + REFUSAL_PAUSE) }
 
     LossCause.GONE -> lost(id, LOSSES_TO_EJECT, now)
 
--- a/library/src/main/kotlin/org/bilberrycart/routing/UpstreamState.kt
+++ b/library/src/main/kotlin/org/bilberrycart/routing/UpstreamState.kt
@@ -18,6 +18,7 @@
  * @property leftIncarnation the newest incarnation that is known to leave; null if none is.
  * @property lossesInRow attempts lost since the last one completed.
  * @property ejectionsInRow ejections since the last attempt completed.
+ * @property fullUntil when it may be tried again after it refused work; null if it did not.
  * @property returnsAt when its last ejection or start ends; slow start follows.
  */
 public data class UpstreamState(
@@ -31,6 +32,7 @@
     val leftIncarnation: Long? = null,
     val lossesInRow: Int = 0,
     val ejectionsInRow: Int = 0,
+    val fullUntil: Duration? = null,
     val returnsAt: Duration? = null,
 ) {
     /** The load corrected for the lag of reports: that of other nodes and this node's own. */
@@ -44,6 +46,9 @@
     /** Returns whether it is ejected at [now]. */
     public fun isEjected(now: Duration): Boolean = returnsAt != null && now < returnsAt
 
+    /** Returns whether it refused work shortly before [now]. */
+    public fun isFull(now: Duration): Boolean = fullUntil != null && now < fullUntil
+
     /** Returns how many slots may be used at [now]; fewer during slow start. */
     public fun capacity(now: Duration): Double {
         val slots = upstream.slots.toDouble()
@@ -62,6 +67,7 @@
             others = maxOf(0, load.running + load.queued - minOf(own, known.ownAtReport)),
             ownAtReport = own,
             leftIncarnation = left,
+            fullUntil = null,
         )
     }
 
--- /dev/null
+++ b/library/src/test/kotlin/org/bilberrycart/routing/RoutingPolicyTest.kt
@@ -0,0 +1,239 @@
+package org.bilberrycart.routing
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.datatest.withData
+import io.kotest.engine.names.WithDataTestName
+import io.kotest.matchers.comparables.shouldBeLessThan
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import org.bilberrycart.model.AttemptOutcome
+import org.bilberrycart.model.LossCause
+import org.bilberrycart.model.RequestClass
+import org.bilberrycart.model.Upstream
+import org.bilberrycart.model.UpstreamId
+
+private data class PolicyCase(
+    val name: String,
+    val policy: RoutingPolicy,
+    val upstreams: List<Upstream>,
+    val placements: List<RoutingEvent.Place>,
+    val load: Map<String, Int>,
+    val routing: ServiceRouting = PLAIN,
+) : WithDataTestName {
+    override fun dataTestName(): String = name
+}
+
+private data class EjectionCase(
+    val name: String,
+    val losses: List<LossCause>,
+    val wait: Duration,
+    val placed: String,
+) : WithDataTestName {
+    override fun dataTestName(): String = name
+}
+
+private fun places(
+    count: Int,
+    requestClass: RequestClass = RequestClass.SHORT_QUESTION,
+    prompt: String? = null,
+) = List(count) {
+    place("$requestClass$it", requestClass = requestClass, prompt = prompt ?: "prompt $it")
+}
+
+private fun RoutingRun.loads(): Map<String, Int> =
+    state.upstreams.values.associate { it.upstream.id.value to it.own }
+
+private fun fleet(count: Int, slots: Int) = List(count) { engine("e$it", slots) }
+
+private val TWO_CENTRES = listOf(engine("here", slots = 10), engine("there", 10, ELSEWHERE))
+
+private val PAIR = RoutingPolicy.LeastOfRandom()
+
+class RoutingPolicyTest :
+    FunSpec({
+        context("a policy chooses among the upstreams with room") {
+            withData(
+                PolicyCase(
+                    "the local data centre first",
+                    PAIR,
+                    TWO_CENTRES,
+                    places(8),
+                    mapOf("here" to 8, "there" to 0),
+                ),
+                PolicyCase(
+                    "other data centres from the set load on",
+                    PAIR,
+                    TWO_CENTRES,
+                    places(12),
+                    mapOf("here" to 8, "there" to 4),
+                ),
+                PolicyCase(
+                    "equal prompts to one engine while its load is within the bound",
+                    RoutingPolicy.PrefixAffinity(loadBound = 100.0),
+                    fleet(4, slots = 10),
+                    places(6, prompt = "Summarise the rules of the club."),
+                    mapOf("e0" to 0, "e1" to 0, "e2" to 0, "e3" to 6),
+                ),
+                PolicyCase(
+                    "short questions and the rest apart",
+                    RoutingPolicy.Dedicated(shortShare = 0.5),
+                    fleet(2, slots = 10),
+                    places(3) + places(4, RequestClass.LONG_DRAFT),
+                    mapOf("e0" to 3, "e1" to 4),
+                ),
+                PolicyCase(
+                    "a dedicated part without an upstream uses the other part",
+                    RoutingPolicy.Dedicated(shortShare = 1.0),
+                    fleet(2, slots = 2),
+                    places(4, RequestClass.LONG_DRAFT),
+                    mapOf("e0" to 2, "e1" to 2),
+                ),
+                PolicyCase(
+                    "long drafts leave the reserves free",
+                    PAIR,
+                    fleet(1, slots = 20),
+                    places(20, RequestClass.LONG_DRAFT),
+                    mapOf("e0" to 17),
+                    PLAIN.copy(shortReserve = 0.1, resumeReserve = 0.05),
+                ),
+                PolicyCase(
+                    "short questions use the reserve of their class, but not that of resumes",
+                    PAIR,
+                    fleet(1, slots = 20),
+                    places(20, RequestClass.LONG_DRAFT) + places(20),
+                    mapOf("e0" to 19),
+                    PLAIN.copy(shortReserve = 0.1, resumeReserve = 0.05),
+                ),
+            ) { case ->
+                val run = RoutingRun(
+                    *case.upstreams.toTypedArray(),
+                    routing = case.routing.copy(policy = case.policy),
+                )
+                case.placements.forEach(run::step)
+                run.loads() shouldBe case.load
+            }
+        }
+
+        test("affinity gives way to the load bound") {
+            val policy = RoutingPolicy.PrefixAffinity(loadBound = 1.25)
+            val run = RoutingRun(
+                *fleet(4, slots = 40).toTypedArray(),
+                routing = PLAIN.copy(policy = policy),
+            )
+            places(80, prompt = "the same").forEach(run::step)
+            run.loads().values.max() shouldBeLessThanOrEqual 27
+        }
+
+        test("the better of two is more even than one at random, on the same seed") {
+            fun highest(candidates: Int): Int {
+                val routing = PLAIN.copy(policy = RoutingPolicy.LeastOfRandom(candidates))
+                val run = RoutingRun(*fleet(20, slots = 100).toTypedArray(), routing = routing)
+                places(400).forEach(run::step)
+                return run.loads().values.max()
+            }
+            highest(candidates = 2) shouldBeLessThan highest(candidates = 1)
+        }
+
+        test("own work since the last report corrects it, and is not counted twice") {
+            val run = RoutingRun(engine("a", slots = 10))
+            places(4).forEach(run::step)
+            val report = LoadReport(slots = 10, running = 7, queued = 0)
+            repeat(2) { run.step(RoutingEvent.LoadReported(UpstreamId("a"), report)) }
+            run.state.upstreams.getValue(UpstreamId("a")).load shouldBe 7
+            run.step(place("next"))
+            run.state.upstreams.getValue(UpstreamId("a")).load shouldBe 8
+        }
+
+        context("an upstream that loses work is ejected for a while") {
+            val reset = LossCause.RESET
+            withData(
+                EjectionCase("not after two losses", listOf(reset, reset), Duration.ZERO, "a"),
+                EjectionCase(
+                    "after three losses",
+                    listOf(reset, reset, reset),
+                    Duration.ZERO,
+                    "b",
+                ),
+                EjectionCase("at once when gone", listOf(LossCause.GONE), Duration.ZERO, "b"),
+                EjectionCase("and comes back", listOf(LossCause.GONE), 5.seconds, "a"),
+            ) { case ->
+                val run = RoutingRun(engine("a", slots = 4), engine("b", slots = 4))
+                case.losses.forEachIndexed { index, cause ->
+                    run.step(RoutingEvent.Configured(listOf(engine("a", 4)), serving()))
+                    run.step(place("lost$index"))
+                    run.step(ended("lost$index", "a", AttemptOutcome.Lost(cause)))
+                }
+                run.step(
+                    RoutingEvent.Configured(listOf(engine("a", 4), engine("b", 4)), serving()),
+                )
+                run.now += case.wait
+                run.step(place("x")) shouldBe listOf("x>${case.placed}")
+            }
+        }
+
+        test("an upstream that refused is tried again after a pause") {
+            val run = RoutingRun(engine("a", slots = 9), engine("b", slots = 9))
+            run.step(place("1"))
+            run.step(ended("1", "a", AttemptOutcome.Lost(LossCause.REFUSED)))
+            List(2) { run.step(place("p$it")).single() } shouldBe listOf("p0>b", "p1>b")
+            run.now += 500.milliseconds
+            run.step(place("x")) shouldBe listOf("x>a")
+        }
+
+        test("no more than the capped share is ejected") {
+            val run = RoutingRun(*fleet(9, slots = 4).toTypedArray())
+            run.loseAll(9)
+            run.state.upstreams.values.count { it.isEjected(run.now) } shouldBe 4
+        }
+
+        test("a returning upstream starts slowly") {
+            val run = RoutingRun(engine("a", slots = 8), engine("b", slots = 8))
+            run.step(place("1"))
+            run.step(ended("1", "a", AttemptOutcome.Lost(LossCause.GONE)))
+            run.now += 5.seconds
+            val held = run.state.upstreams.getValue(UpstreamId("a"))
+            listOf(0.seconds, 5.seconds, 10.seconds).map { held.capacity(run.now + it) } shouldBe
+                listOf(2.0, 4.0, 8.0)
+        }
+
+        test("retries stop when they are more than the budget") {
+            val run = RoutingRun(engine("a", slots = 40), routing = PLAIN.copy(retryShare = 0.5))
+            repeat(40) { run.step(place("r$it", number = 2)) }
+            run.step(place("x", number = 2)) shouldBe listOf("x!RETRIES_EXHAUSTED")
+            repeat(40) { run.step(ended("r$it", "a", number = 2)) }
+            run.step(place("1"))
+            run.step(place("y", number = 2)) shouldBe listOf("y!RETRIES_EXHAUSTED")
+            run.step(place("2"))
+            run.step(place("z", number = 2)) shouldBe listOf("z>a")
+        }
+
+        test("after many losses at once the resumed work spreads over the engines left") {
+            val engines = fleet(18, slots = 20)
+            val run = RoutingRun(*engines.toTypedArray(), routing = PLAIN.copy(policy = PAIR))
+            val homes = places(180).associate {
+                it.placement.attempt.request.value to run.step(it).single().substringAfter('>')
+            }
+            val dead = engines.take(6).map { it.id.value }.toSet()
+            val lost = homes.filterValues { it in dead }
+            lost.forEach { (request, on) ->
+                run.step(ended(request, on, AttemptOutcome.Lost(LossCause.GONE)))
+                run.step(place(request, number = 2, avoid = setOf(on)))
+            }
+            val left = run.loads().filterKeys { it !in dead }.values
+            left.sum() shouldBe 180
+            left.max() - left.min() shouldBeLessThanOrEqual 6
+        }
+    })
+
+private fun serving() = mapOf(DRAFTS to PLAIN)
+
+/** Loses one attempt on each of [count] engines because the engine is gone. */
+private fun RoutingRun.loseAll(count: Int) {
+    val homes = List(count) { step(place("r$it")).single().split('>') }
+    homes.forEach { (request, on) ->
+        step(ended(request, on, AttemptOutcome.Lost(LossCause.GONE)))
+    }
+}
