Keep requests that crash upstreams from crashing more

Placement.isolation (new, default NONE) lets routing keep suspects apart, or alone on an engine that it drains (RoutingEvent.Closed and RoutingAction.AnnounceClosed for the other nodes).

--- a/library/src/main/kotlin/org/bilberrycart/model/Placement.kt
+++ b/library/src/main/kotlin/org/bilberrycart/model/Placement.kt
@@ -10,10 +10,12 @@
  *
  * @property prefix the tokens that the generation already has; the upstream continues after them.
  * @property avoid upstreams that lost an earlier attempt of this request.
+ * @property isolation how far it keeps away from other work.
  */
 public data class Placement(
     val attempt: AttemptId,
     val request: Request,
     val prefix: PersistentList<Token> = persistentListOf(),
     val avoid: PersistentSet<UpstreamId> = persistentSetOf(),
+    val isolation: Isolation = Isolation.NONE,
 )
--- a/library/src/main/kotlin/org/bilberrycart/routing/Chooser.kt
+++ b/library/src/main/kotlin/org/bilberrycart/routing/Chooser.kt
@@ -3,6 +3,7 @@
 import kotlin.random.Random
 import kotlin.time.Duration
 import org.bilberrycart.model.GenerationRequest
+import org.bilberrycart.model.Isolation
 import org.bilberrycart.model.Placement
 import org.bilberrycart.model.RequestClass
 
@@ -30,7 +31,7 @@
     private val reserved = reservedShare()
 
     fun choose(): Choice {
-        val quick = byPolicy()
+        val quick = if (placement.isolation == Isolation.NONE) byPolicy() else null
         if (quick != null) return Choice.Chosen(quick, nextCursor(quick))
         val serving = (0 until pool.size).map { at(it) }.filter { it.isServing }
         val preferred = serving.filter(::isPreferred).ifEmpty { serving }
@@ -79,8 +80,15 @@
         }
     }
 
-    private fun leastLoaded(open: List<UpstreamState>): UpstreamState =
-        (0..1).map { open[random.nextInt(open.size)] }.minBy(::relativeLoad)
+    private fun leastLoaded(open: List<UpstreamState>): UpstreamState {
+        val fewest = open.minOf { it.suspects }
+        val apart = if (placement.isolation == Isolation.APART) {
+            open.filter { it.suspects == fewest }
+        } else {
+            open
+        }
+        return (0..1).map { apart[random.nextInt(apart.size)] }.minBy(::relativeLoad)
+    }
 
     private fun at(index: Int): UpstreamState = state.upstreams.getValue(pool[index])
 
@@ -98,6 +106,8 @@
 
     private fun hasRoom(candidate: UpstreamState): Boolean {
         if (candidate.isFull(now)) return false
+        if (placement.isolation == Isolation.ALONE) return candidate.load == 0
+        if (candidate.isClosed(now)) return false
         val limit = candidate.capacity(now) * (1 - reserved)
         val whole = limit.toInt()
         val part = score(0, candidate).toUInt().toDouble() / UInt.MAX_VALUE.toDouble()
--- a/library/src/main/kotlin/org/bilberrycart/routing/RoutingAction.kt
+++ b/library/src/main/kotlin/org/bilberrycart/routing/RoutingAction.kt
@@ -1,11 +1,13 @@
 package org.bilberrycart.routing
 
+import kotlin.time.Duration
 import org.bilberrycart.model.AttemptId
 import org.bilberrycart.model.Placement
 import org.bilberrycart.model.Request
 import org.bilberrycart.model.ResultCode
 import org.bilberrycart.model.ServiceId
 import org.bilberrycart.model.Upstream
+import org.bilberrycart.model.UpstreamId
 
 /** What the routing duty asks for. */
 public sealed class RoutingAction {
@@ -19,6 +21,10 @@
         val code: ResultCode,
     ) : RoutingAction()
 
+    /** Tell the other nodes that [upstream] is closed for [lifetime]: work runs there alone. */
+    public data class AnnounceClosed(val upstream: UpstreamId, val lifetime: Duration) :
+        RoutingAction()
+
     /**
      * Tell admission how much the upstreams of [service] can run.
      *
--- a/library/src/main/kotlin/org/bilberrycart/routing/RoutingEvent.kt
+++ b/library/src/main/kotlin/org/bilberrycart/routing/RoutingEvent.kt
@@ -1,5 +1,6 @@
 package org.bilberrycart.routing
 
+import kotlin.time.Duration
 import org.bilberrycart.model.AttemptId
 import org.bilberrycart.model.AttemptOutcome
 import org.bilberrycart.model.Placement
@@ -34,6 +35,9 @@
     /** [upstream] takes no new work until it is back with a higher [incarnation]. */
     public data class Leaving(val upstream: UpstreamId, val incarnation: Long) : RoutingEvent()
 
+    /** Another node drains [upstream] for work that runs alone; it is closed for [lifetime]. */
+    public data class Closed(val upstream: UpstreamId, val lifetime: Duration) : RoutingEvent()
+
     /** Time has passed. */
     public data object Tick : RoutingEvent()
 }
--- a/library/src/main/kotlin/org/bilberrycart/routing/RoutingFilter.kt
+++ b/library/src/main/kotlin/org/bilberrycart/routing/RoutingFilter.kt
@@ -29,6 +29,7 @@
         is RoutingEvent.LoadReported -> loadReported(state, event, now)
         is RoutingEvent.Configured -> placeWaiting(state.configured(event), null, now)
         is RoutingEvent.Leaving -> Step(state.leaving(event))
+        is RoutingEvent.Closed -> Step(state.closed(event, now))
         RoutingEvent.Tick -> tick(state, now)
     }
 
@@ -65,6 +66,7 @@
         }
         val freed = state
             .copy(attempts = state.attempts.remove(event.attempt))
+            .endIsolation(event.attempt, event.upstream)
             .update(event.upstream) { it.released() }
             .judged(event.upstream, event.outcome, now)
             .forgetDrained(event.upstream)
@@ -83,6 +85,7 @@
     private fun tick(state: RoutingState, now: Duration): Step<RoutingState, RoutingAction> =
         state.expired(now)
             .then { placeWaiting(it, null, now) }
+            .then { it.drainWhereNeeded(now) }
             .then { it.reportCapacity(now) }
 }
 
--- a/library/src/main/kotlin/org/bilberrycart/routing/RoutingState.kt
+++ b/library/src/main/kotlin/org/bilberrycart/routing/RoutingState.kt
@@ -5,6 +5,7 @@
 import kotlinx.collections.immutable.persistentHashMapOf
 import org.bilberrycart.model.AttemptId
 import org.bilberrycart.model.DataCentreId
+import org.bilberrycart.model.Isolation
 import org.bilberrycart.model.ServiceId
 import org.bilberrycart.model.UpstreamId
 import org.bilberrycart.pipeline.invariant
@@ -15,6 +16,7 @@
  * @property dataCentre the data centre of this node.
  * @property seed the seed of the next random choice.
  * @property attempts the attempts in flight and where each of them runs.
+ * @property isolated the attempts in flight that keep away from other work.
  * @property left upstreams that are known to leave, by the incarnation that leaves.
  * @property reportedAt when the capacity was last reported to admission.
  */
@@ -25,6 +27,7 @@
     val services: PersistentMap<ServiceId, ServiceRouting> = persistentHashMapOf(),
     val pools: PersistentMap<PoolKey, Pool> = persistentHashMapOf(),
     val attempts: PersistentMap<AttemptId, UpstreamId> = persistentHashMapOf(),
+    val isolated: PersistentMap<AttemptId, Isolation> = persistentHashMapOf(),
     val left: PersistentMap<UpstreamId, Long> = persistentHashMapOf(),
     val reportedAt: Duration = Duration.ZERO,
 ) {
--- a/library/src/main/kotlin/org/bilberrycart/routing/UpstreamState.kt
+++ b/library/src/main/kotlin/org/bilberrycart/routing/UpstreamState.kt
@@ -18,6 +18,8 @@
  * @property leftIncarnation the newest incarnation that is known to leave; null if none is.
  * @property lossesInRow attempts lost since the last one completed.
  * @property ejectionsInRow ejections since the last attempt completed.
+ * @property suspects attempts of this node that it runs and that may crash it.
+ * @property closedUntil until when only work that runs alone may enter; null if it is open.
  * @property fullUntil when it may be tried again after it refused work; null if it did not.
  * @property returnsAt when its last ejection or start ends; slow start follows.
  */
@@ -32,6 +34,8 @@
     val leftIncarnation: Long? = null,
     val lossesInRow: Int = 0,
     val ejectionsInRow: Int = 0,
+    val suspects: Int = 0,
+    val closedUntil: Duration? = null,
     val fullUntil: Duration? = null,
     val returnsAt: Duration? = null,
 ) {
@@ -46,6 +50,9 @@
     /** Returns whether it is ejected at [now]. */
     public fun isEjected(now: Duration): Boolean = returnsAt != null && now < returnsAt
 
+    /** Returns whether only work that runs alone may enter at [now]. */
+    public fun isClosed(now: Duration): Boolean = closedUntil != null && now < closedUntil
+
     /** Returns whether it refused work shortly before [now]. */
     public fun isFull(now: Duration): Boolean = fullUntil != null && now < fullUntil
 
--- a/library/src/main/kotlin/org/bilberrycart/routing/WaitingQueue.kt
+++ b/library/src/main/kotlin/org/bilberrycart/routing/WaitingQueue.kt
@@ -4,12 +4,14 @@
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentList
 import org.bilberrycart.model.AttemptId
+import org.bilberrycart.model.Isolation
 import org.bilberrycart.model.Placement
 import org.bilberrycart.model.ResultCode
 import org.bilberrycart.model.UpstreamId
 import org.bilberrycart.pipeline.Step
 import org.bilberrycart.pipeline.invariant
 import org.bilberrycart.pipeline.then
+import org.bilberrycart.pipeline.withActions
 
 /** Returns the pools that can do the work of [placement], the better one first. */
 internal fun RoutingState.keysOf(placement: Placement): List<PoolKey> {
@@ -33,10 +35,11 @@
         attempts = attempts.put(placement.attempt, id),
         pools = pools.put(key, pool),
     ).update(id) { it.copy(own = it.own + 1) }
-    return Step(
-        next,
-        persistentListOf(RoutingAction.Dispatch(placement, choice.upstream.upstream)),
-    )
+    return next
+        .withActions<_, RoutingAction>(
+            RoutingAction.Dispatch(placement, choice.upstream.upstream),
+        )
+        .then { it.isolate(placement, id) }
 }
 
 /** Returns this state and the end of [placement] with [code]. */
@@ -52,8 +55,12 @@
 internal fun RoutingState.enqueue(
     placement: Placement,
     now: Duration,
-): Step<RoutingState, RoutingAction> =
-    enqueue(Waiting(placement, placement.request.deadline, ResultCode.DEADLINE_PASSED), now)
+): Step<RoutingState, RoutingAction> {
+    val item = Waiting(placement, placement.request.deadline, ResultCode.DEADLINE_PASSED)
+    val queued = enqueue(item, now)
+    if (placement.isolation != Isolation.ALONE) return queued
+    return queued.then { it.drainOne(keysOf(placement).first(), now) }
+}
 
 /** Lets a resumed [placement] wait for an engine to appear; ends a first attempt at once. */
 internal fun RoutingState.unmatched(
@@ -126,41 +133,31 @@
     now: Duration,
 ): Step<RoutingState, RoutingAction> {
     var step = Step<RoutingState, RoutingAction>(this)
-    var before: Waiting? = null
-    var head = pools[key]?.waiting?.firstOrNull()
-    while (head != null && head != before) {
-        val item = head
-        step = step.then { it.placeHead(key, item, now) }
-        before = item
-        head = step.state.pools.getValue(key).waiting.firstOrNull()
+    var index = 0
+    while (true) {
+        val queue = step.state.pools[key]?.waiting.orEmpty()
+        val item = queue.getOrNull(index) ?: return step
+        step = step.then { it.placeAt(key, index, now) }
+        val isPlaced = step.state.pools.getValue(key).waiting.size < queue.size
+        if (!isPlaced && item.placement.isolation != Isolation.ALONE) return step
+        if (!isPlaced) index++
     }
-    return step
 }
 
-private fun RoutingState.placeHead(
+private fun RoutingState.placeAt(
     key: PoolKey,
-    head: Waiting,
+    index: Int,
     now: Duration,
 ): Step<RoutingState, RoutingAction> {
-    val (choice, next) = search(head.placement, now)
+    val item = pools.getValue(key).waiting[index]
+    val (choice, next) = search(item.placement, now)
     val pool = next.pools.getValue(key)
-    val without = next.withWaiting(key, pool, pool.waiting.removeAt(0))
+    val without = next.withWaiting(key, pool, pool.waiting.removeAt(index))
+    val isUnmatched = item.code == ResultCode.NO_MATCHING_ENGINE
     return when (choice) {
-        is Choice.Chosen -> without.dispatch(head.placement, choice)
-
-        Choice.Full ->
-            if (head.code == ResultCode.DEADLINE_PASSED) {
-                Step(next)
-            } else {
-                without.enqueue(head.placement, now)
-            }
-
-        Choice.Unmatched ->
-            if (head.code == ResultCode.NO_MATCHING_ENGINE) {
-                Step(next)
-            } else {
-                without.unmatched(head.placement, now)
-            }
+        is Choice.Chosen -> without.dispatch(item.placement, choice)
+        Choice.Full -> if (isUnmatched) without.enqueue(item.placement, now) else Step(next)
+        Choice.Unmatched -> if (isUnmatched) Step(next) else without.unmatched(item.placement, now)
     }
 }
 
--- a/library/src/test/kotlin/org/bilberrycart/routing/RoutingFixture.kt
+++ b/library/src/test/kotlin/org/bilberrycart/routing/RoutingFixture.kt
@@ -106,7 +106,7 @@
             when (it) {
                 is RoutingAction.Dispatch -> "${it.placement.attempt.request}>${it.upstream.id}"
                 is RoutingAction.Unplaceable -> "${it.attempt.request}!${it.code}"
-                is RoutingAction.ReportCapacity -> null
+                is RoutingAction.AnnounceClosed, is RoutingAction.ReportCapacity -> null
             }
         }
     }
