--- a/library/src/main/kotlin/org/bilberrycart/routing/Ejection.kt
+++ b/library/src/main/kotlin/org/bilberrycart/routing/Ejection.kt
@@ -32,6 +32,8 @@
 ): RoutingState = when (cause) {
     LossCause.REFUSED -> update(id) { it.copy(fullUntil = now + REFUSAL_PAUSE) }
 
+    LossCause.DEADLINE -> this
+
     LossCause.GONE -> lost(id, LOSSES_TO_EJECT, now)
 
     LossCause.RESET, LossCause.ENDED_EARLY, LossCause.SILENT, LossCause.PROTOCOL ->
