--- a/library/src/main/kotlin/org/bilberrycart/node/NodeSinks.kt
+++ b/library/src/main/kotlin/org/bilberrycart/node/NodeSinks.kt
@@ -98,6 +98,7 @@
                 rings.dispatch.put(DispatchEvent.Start(action.placement, action.upstream))
             }
             is RoutingAction.Unplaceable -> unplaceable(action)
+            is RoutingAction.AnnounceClosed -> Unit
             is RoutingAction.ReportCapacity -> rings.admission.put(
                 AdmissionEvent.CapacityChanged(action.service, action.slots, action.others),
             )
--- a/library/src/main/kotlin/org/bilberrycart/suspect/SuspectFilter.kt
+++ b/library/src/main/kotlin/org/bilberrycart/suspect/SuspectFilter.kt
@@ -111,7 +111,7 @@
 
 private fun isDeath(cause: LossCause): Boolean = when (cause) {
     LossCause.RESET, LossCause.ENDED_EARLY, LossCause.SILENT, LossCause.GONE -> true
-    LossCause.REFUSED, LossCause.PROTOCOL -> false
+    LossCause.REFUSED, LossCause.PROTOCOL, LossCause.DEADLINE -> false
 }
 
 private fun SuspectState.hasCopy(fingerprint: Fingerprint): Boolean =
