--- a/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
@@ -12,6 +12,6 @@
 /** Runs the command line. */
 fun main(args: Array<String>) = Bilberrycart()
     .subcommands(
-        StandInCommand().subcommands(StandInEngineCommand()),
+        StandInCommand().subcommands(StandInEngineCommand(), StandInServiceCommand()),
     )
     .main(args)
--- a/standins/src/main/kotlin/org/bilberrycart/standins/engine/EngineAction.kt
+++ b/standins/src/main/kotlin/org/bilberrycart/standins/engine/EngineAction.kt
@@ -1,5 +1,7 @@
 package org.bilberrycart.standins.engine
 
+import org.bilberrycart.standins.http.HostAction
+
 /** What an engine asks its surroundings to do. */
 sealed class EngineAction {
     /** Hand [reply] to [reader]. */
@@ -8,18 +10,6 @@
     /** End the response of [reader]. */
     data class Close(val reader: ReaderId) : EngineAction()
 
-    /** Reset all connections and refuse new ones. */
-    data object Die : EngineAction()
-
-    /** Accept connections again. */
-    data object Revive : EngineAction()
-
-    /** Hang all responses. */
-    data object Pause : EngineAction()
-
-    /** Let all responses go on. */
-    data object Resume : EngineAction()
-
-    /** Hang for good the responses on connections that are open now. */
-    data object Silence : EngineAction()
+    /** Do [action] to the engine's connections. */
+    data class Host(val action: HostAction) : EngineAction()
 }
--- a/standins/src/main/kotlin/org/bilberrycart/standins/engine/EngineBodies.kt
+++ b/standins/src/main/kotlin/org/bilberrycart/standins/engine/EngineBodies.kt
@@ -1,6 +1,7 @@
 package org.bilberrycart.standins.engine
 
 import kotlinx.serialization.Serializable
+import org.bilberrycart.standins.http.LoadedModel
 
 /** One token as a server-sent event carries it. */
 @Serializable
@@ -10,25 +11,6 @@
 @Serializable
 internal data class FinishBody(val reason: String, val tokens: Int)
 
-/** The body of a refusal. */
-@Serializable
-internal data class ErrorBody(val error: String, val fencing: Long? = null)
-
-/** The answer of `GET /v1/load`. */
-@Serializable
-data class LoadBody(
-    val slots: Int,
-    val running: Int,
-    val queued: Int,
-    val incarnation: Long,
-    val leaving: Boolean,
-    val models: List<LoadedModel> = emptyList(),
-)
-
-/** The answer of `GET /v1/health`. */
-@Serializable
-internal data class HealthBody(val alive: Boolean)
-
 /** One event of `GET /v1/cache`; [blocks] are chained hashes in hexadecimal. */
 @Serializable
 internal data class CacheEventBody(val seq: Long, val blocks: List<String>)
--- a/standins/src/main/kotlin/org/bilberrycart/standins/engine/EngineFilter.kt
+++ b/standins/src/main/kotlin/org/bilberrycart/standins/engine/EngineFilter.kt
@@ -8,6 +8,7 @@
 import org.bilberrycart.pipeline.then
 import org.bilberrycart.pipeline.withActions
 import org.bilberrycart.standins.engine.EngineReply.Refused
+import org.bilberrycart.standins.http.LoadedModel
 import org.bilberrycart.standins.pipeline.TimedFilter
 
 /** The decisions of an emulated engine with a continuous batch, a queue and a prefix cache. */
--- a/standins/src/main/kotlin/org/bilberrycart/standins/engine/EngineHttp.kt
+++ b/standins/src/main/kotlin/org/bilberrycart/standins/engine/EngineHttp.kt
@@ -2,11 +2,16 @@
 
 import org.bilberrycart.pipeline.Clock
 import org.bilberrycart.pipeline.Ring
+import org.bilberrycart.standins.http.ErrorBody
 import org.bilberrycart.standins.http.HangGate
+import org.bilberrycart.standins.http.HealthBody
+import org.bilberrycart.standins.http.LoadBody
+import org.bilberrycart.standins.http.connection
+import org.bilberrycart.standins.http.hangingAt
 import org.bilberrycart.standins.http.jsonResponse
+import org.bilberrycart.standins.http.refuseBadInput
 import org.bilberrycart.standins.http.standInJson
 import org.bilberrycart.standins.pipeline.Mailboxes
-import org.http4k.core.Filter
 import org.http4k.core.HttpHandler
 import org.http4k.core.Method.DELETE
 import org.http4k.core.Method.GET
@@ -30,7 +35,7 @@
     /** Returns the handler of all paths. */
     fun handler(): HttpHandler = refuseBadInput.then(
         routes(
-            hang.then(
+            hangingAt(gate).then(
                 routes(
                     "/v1/streams" bind POST to ::open,
                     "/v1/streams/{attempt}" bind GET to ::read,
@@ -47,23 +52,6 @@
         ),
     )
 
-    private val hang = Filter { next ->
-        { request ->
-            gate.pass(request.connection)
-            next(request).also { gate.pass(request.connection) }
-        }
-    }
-
-    private val refuseBadInput = Filter { next ->
-        { request ->
-            try {
-                next(request)
-            } catch (e: IllegalArgumentException) {
-                jsonResponse(Status.BAD_REQUEST, ErrorBody(e.message.orEmpty()))
-            }
-        }
-    }
-
     private fun open(request: Request): Response {
         val body = standInJson.decodeFromString<StreamRequest>(request.bodyString())
         return stream(request) { EngineEvent.Open(body, it) }
@@ -154,11 +142,9 @@
     private fun stateResponse(): Response = jsonResponse(Status.OK, state().toBody())
 
     /** Puts the event into the duty's ring and waits for its reply; null if the engine died. */
-    private fun ask(event: (ReaderId) -> EngineEvent): EngineReply? {
-        val reader = ReaderId(mailboxes.open())
-        val ring = checkNotNull(mailboxes[reader.value]) { "no mailbox $reader" }
-        events.put(event(reader))
-        return ring.takeAll(limit = 1).firstOrNull().also { mailboxes.close(reader.value) }
+    private fun ask(event: (ReaderId) -> EngineEvent): EngineReply? = mailboxes.use { id, ring ->
+        events.put(event(ReaderId(id)))
+        ring.takeAll(limit = 1).firstOrNull()
     }
 
     private fun refusal(reply: EngineReply?): Response = when (reply) {
@@ -167,9 +153,6 @@
         else -> jsonResponse(Status.SERVICE_UNAVAILABLE, ErrorBody("the engine is gone"))
     }
 
-    private val Request.connection: Int
-        get() = source?.port ?: 0
-
     private val Request.attempt: String
         get() = path("attempt").orEmpty()
 
--- a/standins/src/main/kotlin/org/bilberrycart/standins/engine/EngineSettings.kt
+++ b/standins/src/main/kotlin/org/bilberrycart/standins/engine/EngineSettings.kt
@@ -4,6 +4,7 @@
 import kotlin.time.Duration.Companion.microseconds
 import kotlin.time.Duration.Companion.milliseconds
 import kotlinx.serialization.Serializable
+import org.bilberrycart.standins.http.LoadedModel
 
 /**
  * The settings of an emulated model engine.
--- a/standins/src/main/kotlin/org/bilberrycart/standins/engine/EngineState.kt
+++ b/standins/src/main/kotlin/org/bilberrycart/standins/engine/EngineState.kt
@@ -6,6 +6,9 @@
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.persistentSetOf
 import kotlinx.collections.immutable.toPersistentSet
+import org.bilberrycart.standins.http.LoadedModel
+import org.bilberrycart.standins.pipeline.LoadHistory
+import org.bilberrycart.standins.pipeline.LoadSample
 
 /**
  * The state of an emulated engine.
--- a/standins/src/main/kotlin/org/bilberrycart/standins/engine/FaultSteps.kt
+++ b/standins/src/main/kotlin/org/bilberrycart/standins/engine/FaultSteps.kt
@@ -6,6 +6,7 @@
 import org.bilberrycart.pipeline.Step
 import org.bilberrycart.pipeline.then
 import org.bilberrycart.pipeline.withActions
+import org.bilberrycart.standins.http.HostAction
 
 /** The decisions about faults that a test brings about. */
 internal object FaultSteps {
@@ -14,7 +15,9 @@
         val step = when (val fault = event.fault) {
             EngineFault.Die -> die(state)
             EngineFault.Restart -> restart(state)
-            EngineFault.Pause -> state.copy(isPaused = true).withActions(EngineAction.Pause)
+            EngineFault.Pause -> state.copy(
+                isPaused = true,
+            ).withActions(EngineAction.Host(HostAction.Pause))
             EngineFault.Resume -> resume(state, now)
             EngineFault.Silence -> silence(state, now)
             EngineFault.Leave -> Step(state.copy(isLeaving = true))
@@ -33,7 +36,7 @@
         val closes = state.readers.keys.map { EngineAction.Close(it) }
         return Step(
             emptied(state).copy(isAlive = false).count { copy(lost = this.lost + lost) },
-            persistentListOf<EngineAction>(EngineAction.Die).addAll(closes),
+            persistentListOf<EngineAction>(EngineAction.Host(HostAction.Die)).addAll(closes),
         )
     }
 
@@ -45,13 +48,13 @@
             isPaused = false,
             isLeaving = false,
         )
-        return Step(fresh, dead.actions.add(EngineAction.Revive))
+        return Step(fresh, dead.actions.add(EngineAction.Host(HostAction.Revive)))
     }
 
     private fun resume(state: EngineState, now: Duration): EngineStep = state.copy(
         isPaused = false,
         stepAt = state.stepAt?.coerceAtLeast(now),
-    ).withActions(EngineAction.Resume)
+    ).withActions(EngineAction.Host(HostAction.Resume))
 
     private fun silence(state: EngineState, now: Duration): EngineStep {
         val unread = state.streams.mapValues { (_, stream) ->
@@ -60,7 +63,7 @@
         return state.copy(
             streams = state.streams.putAll(unread),
             readers = persistentMapOf(),
-        ).withActions(EngineAction.Silence)
+        ).withActions(EngineAction.Host(HostAction.Silence))
     }
 
     private fun endEarly(state: EngineState, now: Duration): EngineStep =
--- a/standins/src/main/kotlin/org/bilberrycart/standins/engine/PrefixCache.kt
+++ b/standins/src/main/kotlin/org/bilberrycart/standins/engine/PrefixCache.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentSetOf
+import org.bilberrycart.standins.http.LoadedModel
 
 /**
  * The prefix blocks that an engine has computed, least recently used first.
--- a/standins/src/main/kotlin/org/bilberrycart/standins/engine/StreamRequest.kt
+++ b/standins/src/main/kotlin/org/bilberrycart/standins/engine/StreamRequest.kt
@@ -1,6 +1,7 @@
 package org.bilberrycart.standins.engine
 
 import kotlinx.serialization.Serializable
+import org.bilberrycart.standins.http.LoadedModel
 
 /**
  * The body of `POST /v1/streams`.
--- a/standins/src/main/kotlin/org/bilberrycart/standins/engine/LoadedModel.kt
+++ b/standins/src/main/kotlin/org/bilberrycart/standins/http/LoadedModel.kt
@@ -1,4 +1,4 @@
-package org.bilberrycart.standins.engine
+package org.bilberrycart.standins.http
 
 import kotlinx.serialization.Serializable
 
--- a/standins/src/main/kotlin/org/bilberrycart/standins/http/StandInServer.kt
+++ b/standins/src/main/kotlin/org/bilberrycart/standins/http/StandInServer.kt
@@ -14,19 +14,11 @@
  * The HTTP server of a stand-in, which can die and come back on the same port.
  *
  * It listens on a second port for control, which stays open while the stand-in is dead.
- *
- * @param threads the largest number of HTTP threads; each open stream holds one.
  */
-class StandInServer(
-    host: String,
-    port: Int,
-    controlPort: Int,
-    threads: Int,
-    private val handler: HttpHandler,
-) : AutoCloseable {
-    private val server = Server(QueuedThreadPool(threads).apply { name = "standin-http" })
-    private val data = connector(host, port)
-    private val control = connector(host, controlPort)
+class StandInServer(address: HostAddress, private val handler: HttpHandler) : AutoCloseable {
+    private val server = Server(QueuedThreadPool(address.threads).apply { name = "standin-http" })
+    private val data = connector(address.host, address.port)
+    private val control = connector(address.host, address.controlPort)
 
     /** The port that serves requests; the same one after [die] and [revive]. */
     val port: Int
--- a/standins/src/main/kotlin/org/bilberrycart/standins/engine/EngineLoad.kt
+++ b/standins/src/main/kotlin/org/bilberrycart/standins/pipeline/LoadHistory.kt
@@ -1,10 +1,10 @@
-package org.bilberrycart.standins.engine
+package org.bilberrycart.standins.pipeline
 
 import kotlin.time.Duration
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
 
-/** How many streams ran and waited from [at] on. */
+/** How many requests ran and waited from [at] on. */
 data class LoadSample(val at: Duration, val running: Int, val queued: Int)
 
 /** The recent samples of the load, the oldest first. */
--- a/standins/src/main/kotlin/org/bilberrycart/standins/pipeline/Mailboxes.kt
+++ b/standins/src/main/kotlin/org/bilberrycart/standins/pipeline/Mailboxes.kt
@@ -29,12 +29,20 @@
     /** Returns the ring with [id], or null after [close]. */
     operator fun get(id: Long): Ring<R>? = rings.get()[id]
 
+    /** Opens a ring for the time of [block], which receives its id and the ring. */
+    inline fun <T> use(block: (Long, Ring<R>) -> T): T {
+        val id = open()
+        try {
+            return block(id, checkNotNull(this[id]) { "no mailbox $id" })
+        } finally {
+            close(id)
+        }
+    }
+
     /** Puts [reply] into the ring with [id]; closes a ring that has no room. */
-    fun send(id: Long, reply: R): Boolean {
-        val ring = this[id] ?: return false
-        if (ring.offer(reply)) return true
-        close(id)
-        return false
+    fun send(id: Long, reply: R) {
+        val ring = this[id] ?: return
+        if (!ring.offer(reply)) close(id)
     }
 
     /** Closes the ring with [id] and wakes its reader. */
--- /dev/null
+++ b/standins/src/main/kotlin/org/bilberrycart/standins/service/ServiceCall.kt
@@ -0,0 +1,26 @@
+package org.bilberrycart.standins.service
+
+/** One HTTP response that waits for a reply of the service's duty. */
+@JvmInline
+value class CallId(val value: Long)
+
+/**
+ * A call as the service receives it.
+ *
+ * @property key the idempotency key; empty for none.
+ * @property attempt the attempt that the caller named; empty for none.
+ * @property slot the slot that the call is about; empty for none.
+ * @property connection the remote port of the connection that it came on.
+ */
+data class ServiceCall(
+    val id: CallId,
+    val operation: String,
+    val key: String,
+    val attempt: String,
+    val slot: String,
+    val connection: Int,
+) {
+    /** The name under which executions are counted. */
+    val countedAs: String
+        get() = if (key.isEmpty()) "attempt:$attempt" else key
+}
--- /dev/null
+++ b/standins/src/main/kotlin/org/bilberrycart/standins/service/ServiceFilter.kt
@@ -0,0 +1,163 @@
+package org.bilberrycart.standins.service
+
+import kotlin.time.Duration
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
+import org.bilberrycart.pipeline.Step
+import org.bilberrycart.pipeline.then
+import org.bilberrycart.pipeline.withActions
+import org.bilberrycart.standins.http.HostAction
+import org.bilberrycart.standins.pipeline.TimedFilter
+
+/** The decisions of an emulated plain service that books slots and counts what it does. */
+object ServiceFilter : TimedFilter<ServiceState, ServiceEvent, ServiceAction> {
+    override val tick: ServiceEvent = ServiceEvent.Tick
+
+    override fun nextTickAt(state: ServiceState): Duration? =
+        if (!state.isAlive || state.isPaused) null else state.running.minOfOrNull { it.due }
+
+    override fun step(state: ServiceState, event: ServiceEvent, now: Duration): ServiceStep {
+        val step = when (event) {
+            ServiceEvent.Tick -> tick(state, now)
+            is ServiceEvent.Called -> called(state, event.call, now)
+            is ServiceEvent.Faulted -> faulted(state, event)
+        }
+        return step.copy(state = step.state.sampled(now))
+    }
+
+    private fun tick(state: ServiceState, now: Duration): ServiceStep {
+        if (!state.isAlive || state.isPaused) return Step(state)
+        val (due, left) = state.running.partition { it.due <= now }
+        val start: ServiceStep = Step(state.copy(running = left.toPersistentList()))
+        return due.fold(start) { step, running -> step.then { execute(it, running) } }
+            .then { fill(it, now) }
+    }
+
+    private fun called(state: ServiceState, call: ServiceCall, now: Duration): ServiceStep {
+        val first = state.answers[call.key]
+        return when {
+            !state.isAlive -> refuse(state, call, "the service is dead")
+            state.isLeaving -> refuse(state, call, "the service is leaving")
+            first != null -> state.withActions(ServiceAction.Send(call.id, first))
+            state.running.size >= state.settings.slots &&
+                state.queue.size >= state.settings.queueLimit ->
+                refuse(state, call, "the queue is full")
+            else -> fill(state.copy(queue = state.queue.add(call)), now)
+        }
+    }
+
+    private fun refuse(state: ServiceState, call: ServiceCall, error: String): ServiceStep =
+        state.withActions(ServiceAction.Send(call.id, ServiceReply.Refused(UNAVAILABLE, error)))
+
+    private tailrec fun fill(
+        state: ServiceState,
+        now: Duration,
+        before: ServiceStep = Step(state),
+    ): ServiceStep {
+        if (state.queue.isEmpty() || state.running.size >= state.settings.slots) return before
+        val next = before.then { start(it, now) }
+        return fill(next.state, now, next)
+    }
+
+    private fun start(state: ServiceState, now: Duration): ServiceStep {
+        val call = state.queue.first()
+        val reset = state.resets.firstOrNull()
+        val next = state.copy(
+            queue = state.queue.removeAt(0),
+            resets = if (reset == null) state.resets else state.resets.removeAt(0),
+        )
+        if (reset == ResetPoint.BEFORE) return next.withActions(*lose(call))
+        val time = state.settings.callTime + state.slowness
+        val due = now + if (reset == ResetPoint.DURING) time / 2 else time
+        return Step(next.copy(running = next.running.add(RunningCall(call, due, reset))))
+    }
+
+    private fun execute(state: ServiceState, running: RunningCall): ServiceStep {
+        val call = running.call
+        val count = (state.executions[call.countedAs]?.count ?: 0) + 1
+        val bookings = when (call.operation) {
+            "book" -> if (call.slot in state.bookings) {
+                state.bookings
+            } else {
+                state.bookings.put(call.slot, call.countedAs)
+            }
+            "cancel" -> state.bookings.remove(call.slot)
+            else -> state.bookings
+        }
+        val reply = ServiceReply.Executed(
+            operation = call.operation,
+            key = call.key,
+            execution = count,
+            slot = call.slot,
+            booked = call.slot in bookings,
+        )
+        val isKept = state.settings.dropsRepeats && call.key.isNotEmpty()
+        val next = state.copy(
+            bookings = bookings,
+            executions = state.executions.put(
+                call.countedAs,
+                ExecutionCount(call.countedAs, call.operation, count),
+            ),
+            answers = if (isKept) state.answers.put(call.key, reply) else state.answers,
+        )
+        return if (running.reset == null) {
+            next.withActions(ServiceAction.Send(call.id, reply))
+        } else {
+            next.withActions(*lose(call))
+        }
+    }
+
+    private fun lose(call: ServiceCall): Array<ServiceAction> = arrayOf(
+        ServiceAction.Host(HostAction.Reset(call.connection)),
+        ServiceAction.Close(call.id),
+    )
+
+    private fun faulted(state: ServiceState, event: ServiceEvent.Faulted): ServiceStep {
+        val step = when (val fault = event.fault) {
+            ServiceFault.Die -> die(state)
+            ServiceFault.Restart -> restart(state)
+            ServiceFault.Pause -> state.copy(isPaused = true).host(HostAction.Pause)
+            ServiceFault.Resume -> state.copy(isPaused = false).host(HostAction.Resume)
+            ServiceFault.Silence -> state.host(HostAction.Silence)
+            ServiceFault.Leave -> Step(state.copy(isLeaving = true))
+            is ServiceFault.Slow -> Step(state.copy(slowness = fault.extra))
+            is ServiceFault.ResetCalls ->
+                Step(state.copy(resets = state.resets.addAll(List(fault.count) { fault.point })))
+        }
+        return step.copy(
+            actions = step.actions.add(ServiceAction.Send(event.id, ServiceReply.Done)),
+        )
+    }
+
+    private fun die(state: ServiceState): ServiceStep {
+        if (!state.isAlive) return Step(state)
+        val waiting = state.running.map { it.call } + state.queue
+        val closes = waiting.map { ServiceAction.Close(it.id) }
+        val dead = state.copy(
+            isAlive = false,
+            running = persistentListOf(),
+            queue = persistentListOf(),
+        )
+        return Step(
+            dead,
+            persistentListOf<ServiceAction>(ServiceAction.Host(HostAction.Die)).addAll(closes),
+        )
+    }
+
+    private fun restart(state: ServiceState): ServiceStep = die(state).then {
+        it.copy(
+            incarnation = it.incarnation + 1,
+            isAlive = true,
+            isPaused = false,
+            isLeaving = false,
+        ).host(HostAction.Revive)
+    }
+
+    private fun ServiceState.host(action: HostAction): ServiceStep =
+        withActions(ServiceAction.Host(action))
+
+    private const val UNAVAILABLE = 503
+}
+
+/** A step of the service's filter. */
+internal typealias ServiceStep = Step<ServiceState, ServiceAction>
