--- a/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
@@ -6,12 +6,17 @@
 
 /** The command line of bilberrycart; each subcommand is a class of its own. */
 class Bilberrycart : CliktCommand(name = "bilberrycart") {
+    init {
+        subcommands(ConfigCommand())
+    }
+
     override fun run() = Unit
 }
 
 /** Runs the command line. */
 fun main(args: Array<String>) = Bilberrycart()
     .subcommands(
+        TryCommand(),
         StandInCommand().subcommands(StandInEngineCommand(), StandInServiceCommand()),
     )
     .main(args)
--- a/standins/src/main/kotlin/org/bilberrycart/standins/service/ServiceFilter.kt
+++ b/standins/src/main/kotlin/org/bilberrycart/standins/service/ServiceFilter.kt
@@ -1,6 +1,7 @@
 package org.bilberrycart.standins.service
 
 import kotlin.time.Duration
+import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentList
 import org.bilberrycart.pipeline.Step
@@ -66,7 +67,7 @@
             queue = state.queue.removeAt(0),
             resets = if (reset == null) state.resets else state.resets.removeAt(0),
         )
-        if (reset == ResetPoint.BEFORE) return next.withActions(*lose(call))
+        if (reset == ResetPoint.BEFORE) return Step(next, lose(call))
         val time = state.settings.callTime + state.slowness
         val due = now + if (reset == ResetPoint.DURING) time / 2 else time
         return Step(next.copy(running = next.running.add(RunningCall(call, due, reset))))
@@ -103,11 +104,11 @@
         return if (running.reset == null) {
             next.withActions(ServiceAction.Send(call.id, reply))
         } else {
-            next.withActions(*lose(call))
+            Step(next, lose(call))
         }
     }
 
-    private fun lose(call: ServiceCall): Array<ServiceAction> = arrayOf(
+    private fun lose(call: ServiceCall): PersistentList<ServiceAction> = persistentListOf(
         ServiceAction.Host(HostAction.Reset(call.connection)),
         ServiceAction.Close(call.id),
     )
--- a/standins/src/test/kotlin/org/bilberrycart/standins/engine/EngineFilterTest.kt
+++ b/standins/src/test/kotlin/org/bilberrycart/standins/engine/EngineFilterTest.kt
@@ -53,9 +53,7 @@
     }
 
     fun runUntil(end: Duration) {
-        while (true) {
-            val next = EngineFilter.nextTickAt(state) ?: break
-            if (next > end) break
+        generateSequence { EngineFilter.nextTickAt(state)?.takeIf { it <= end } }.forEach { next ->
             now = maxOf(now, next)
             send(EngineEvent.Tick)
         }
