--- /dev/null
+++ b/bench/src/test/kotlin/org/bilberrycart/bench/actions/ActionSoakTest.kt
@@ -0,0 +1,38 @@
+package org.bilberrycart.bench.actions
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.datatest.withData
+import io.kotest.engine.names.WithDataTestName
+import io.kotest.matchers.shouldBe
+
+private data class SoakCase(val name: String, val planted: PlantedFault, val isClean: Boolean) :
+    WithDataTestName {
+    override fun dataTestName(): String = name
+}
+
+class ActionSoakTest :
+    FunSpec({
+        context("the history of randomised runs") {
+            withData(
+                SoakCase("keeps every promise", PlantedFault.NONE, isClean = true),
+                SoakCase(
+                    "shows a conditional insert without its condition",
+                    PlantedFault.UNCONDITIONAL_INSERT,
+                    isClean = false,
+                ),
+            ) { case ->
+                val soak = ActionSoak(planted = case.planted)
+                val violations = (1L..SEEDS).flatMap { soak.run(it).violations }
+                violations.isEmpty() shouldBe case.isClean
+            }
+        }
+
+        test("runs reach executions, replays, unknown outcomes and refusals") {
+            val answers = (1L..SEEDS).flatMap { ActionSoak().run(it).answers.keys }.toSet()
+            answers.containsAll(
+                setOf("REPLY", "NOT_RUN", "OUTCOME_UNKNOWN", "IN_PROGRESS"),
+            ) shouldBe true
+        }
+    })
+
+private const val SEEDS = 60L
