--- /dev/null
+++ b/library/src/main/kotlin/org/bilberrycart/peer/LinksFilter.kt
@@ -0,0 +1,75 @@
+package org.bilberrycart.peer
+
+import kotlin.time.Duration
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
+import org.bilberrycart.membership.PeerAddress
+import org.bilberrycart.pipeline.Filter
+import org.bilberrycart.pipeline.Step
+import org.bilberrycart.pipeline.withActions
+
+private typealias LinksStep = Step<LinksState, LinksAction>
+
+/** Chooses the link of each message; opens one when there is none. */
+public class LinksFilter : Filter<LinksState, LinksEvent, LinksAction> {
+    override fun step(state: LinksState, event: LinksEvent, now: Duration): LinksStep =
+        when (event) {
+            is LinksEvent.Send -> send(state, event)
+            is LinksEvent.Greet -> dial(state, event.address, persistentListOf())
+            is LinksEvent.Opened -> opened(state, event)
+            is LinksEvent.Closed -> closed(state, event.link)
+            is LinksEvent.DialFailed -> dialFailed(state, event.address)
+        }
+
+    private fun send(state: LinksState, send: LinksEvent.Send): LinksStep {
+        val link = state.links[send.to.vm]
+        if (link != null) return state.withActions(LinksAction.Write(link, send.message))
+        return dial(state, send.to.peerAddress, persistentListOf(send))
+    }
+
+    private fun dial(
+        state: LinksState,
+        address: PeerAddress,
+        sends: PersistentList<LinksEvent.Send>,
+    ): LinksStep {
+        val queue = state.waiting[address]
+        if (queue == null) {
+            val next = state.copy(waiting = state.waiting.put(address, sends))
+            return next.withActions(LinksAction.Dial(address))
+        }
+        if (queue.size + sends.size > state.waitingCapacity) {
+            return state.withActions(LinksAction.CountUnsent(sends.size))
+        }
+        return Step(state.copy(waiting = state.waiting.put(address, queue.addAll(sends))))
+    }
+
+    private fun opened(state: LinksState, event: LinksEvent.Opened): LinksStep {
+        val link = event.link
+        val queue = event.dialled?.let { state.waiting[it] } ?: persistentListOf()
+        val next = state.copy(
+            links = state.links.put(link.peer.vm, link),
+            waiting = event.dialled?.let { state.waiting.remove(it) } ?: state.waiting,
+        )
+        val (own, others) = queue.partition { it.to.vm == link.peer.vm }
+        val writes = own.map { LinksAction.Write(link, it.message) }
+        val actions: List<LinksAction> = listOf(LinksAction.Announce(link.peer)) + writes
+        return Step(next, (actions + unsent(others.size)).toPersistentList())
+    }
+
+    private fun closed(state: LinksState, link: PeerLink): LinksStep {
+        if (state.links[link.peer.vm] !== link) return Step(state)
+        return Step(state.copy(links = state.links.remove(link.peer.vm)))
+    }
+
+    private fun dialFailed(state: LinksState, address: PeerAddress): LinksStep {
+        val lost = state.waiting[address]?.size ?: 0
+        return Step(
+            state.copy(waiting = state.waiting.remove(address)),
+            unsent(lost).toPersistentList(),
+        )
+    }
+
+    private fun unsent(count: Int): List<LinksAction> =
+        if (count == 0) emptyList() else listOf(LinksAction.CountUnsent(count))
+}
--- /dev/null
+++ b/library/src/main/kotlin/org/bilberrycart/peer/LinksState.kt
@@ -0,0 +1,21 @@
+package org.bilberrycart.peer
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentHashMapOf
+import org.bilberrycart.membership.PeerAddress
+import org.bilberrycart.model.VmId
+
+/**
+ * The links of one node.
+ *
+ * @property links the newest open link to each peer.
+ * @property waiting what waits for each connection that is being opened.
+ * @property waitingCapacity messages that may wait for one connection.
+ */
+public data class LinksState(
+    val links: PersistentMap<VmId, PeerLink> = persistentHashMapOf(),
+    val waiting: PersistentMap<PeerAddress, PersistentList<LinksEvent.Send>> =
+        persistentHashMapOf(),
+    val waitingCapacity: Int = 256,
+)
