--- a/library/src/main/kotlin/org/bilberrycart/peer/PeerMessage.kt
+++ b/library/src/main/kotlin/org/bilberrycart/peer/PeerMessage.kt
@@ -4,6 +4,8 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.CborArray
 import org.bilberrycart.membership.MembershipMessage
+import org.bilberrycart.replication.ReplicationMessage
+import org.bilberrycart.takeover.TakeoverMessage
 
 /** What one node tells another, by the filter that reacts to it. */
 @Serializable
@@ -13,4 +15,16 @@
     @SerialName("m")
     @CborArray
     public data class Membership(val message: MembershipMessage) : PeerMessage()
+
+    /** For the replication shards, by the request of each message. */
+    @Serializable
+    @SerialName("r")
+    @CborArray
+    public data class Replication(val messages: List<ReplicationMessage>) : PeerMessage()
+
+    /** For the takeover filter. */
+    @Serializable
+    @SerialName("t")
+    @CborArray
+    public data class Takeover(val message: TakeoverMessage) : PeerMessage()
 }
--- /dev/null
+++ b/library/src/main/kotlin/org/bilberrycart/replication/Releasing.kt
@@ -0,0 +1,62 @@
+package org.bilberrycart.replication
+
+import kotlin.time.Duration
+import kotlinx.collections.immutable.toPersistentList
+import org.bilberrycart.model.AnswerPart
+import org.bilberrycart.pipeline.Step
+import org.bilberrycart.pipeline.then
+import org.bilberrycart.pipeline.withActions
+import org.bilberrycart.replication.Owned.HolderState
+
+/** Which tokens of an owned generation may go to the caller. */
+internal object Releasing {
+    /** Puts [owned] back and releases what may go to the caller. */
+    fun settle(state: ReplicationState, owned: Owned, now: Duration): ReplicationStep {
+        val limit = if (isAlone(state, owned)) owned.tokens.size else owned.acked
+        val end = owned.end.takeIf { isEndDue(state, owned, limit) }
+        val next = owned.copy(
+            released = maxOf(owned.released, limit),
+            isEndReleased = owned.isEndReleased || end != null,
+        )
+        val id = owned.generation.id
+        val step = Step(
+            state.copy(owned = state.owned.put(id, next)),
+            listOfNotNull(release(owned, limit), end?.let { endOf(owned, it) })
+                .toPersistentList(),
+        )
+        return if (isHandOverDue(next)) step.then { handOverNow(it, next, now) } else step
+    }
+
+    private fun release(owned: Owned, limit: Int): ReplicationAction? {
+        if (limit <= owned.released) return null
+        val tokens = owned.tokens.subList(owned.released, limit)
+        return ReplicationAction.Release(owned.generation.id, owned.epoch, tokens)
+    }
+
+    fun endOf(owned: Owned, end: AnswerPart) =
+        ReplicationAction.ReleaseEnd(owned.generation.id, owned.epoch, end)
+
+    private fun isEndDue(state: ReplicationState, owned: Owned, limit: Int): Boolean {
+        val isConfirmed = owned.isEndAcked || isAlone(state, owned)
+        return !owned.isEndReleased && isConfirmed && limit >= owned.tokens.size
+    }
+
+    private fun isAlone(state: ReplicationState, owned: Owned): Boolean {
+        if (owned.holder != HolderState.None) return false
+        return when (state.settings.policyOf(owned.generation.service)) {
+            is ReplicationPolicy.Required -> false
+            ReplicationPolicy.Preferred, ReplicationPolicy.Off -> true
+        }
+    }
+
+    private fun isHandOverDue(owned: Owned): Boolean = owned.handingOver &&
+        owned.end == null &&
+        owned.holder is HolderState.Active &&
+        !owned.isOutstanding
+
+    private fun handOverNow(state: ReplicationState, owned: Owned, now: Duration) =
+        OwnerSide.disown(state, owned, now).then {
+            val holder = (owned.holder as HolderState.Active).member
+            it.withActions(reply(holder, ReplicationMessage.Yielded(owned.key)))
+        }
+}
--- a/library/src/main/kotlin/org/bilberrycart/replication/ReplicationEvent.kt
+++ b/library/src/main/kotlin/org/bilberrycart/replication/ReplicationEvent.kt
@@ -1,5 +1,7 @@
 package org.bilberrycart.replication
 
+import org.bilberrycart.membership.Member
+import org.bilberrycart.membership.MemberRecord
 import org.bilberrycart.model.AnswerPart
 import org.bilberrycart.model.GenerationRequest
 import org.bilberrycart.model.RequestId
@@ -18,6 +20,25 @@
     public data class Completed(val request: RequestId, val epoch: Int, val end: AnswerPart) :
         ReplicationEvent()
 
-    /** Time has passed. */
+    /** The current attempt of an owned generation runs at [place]. */
+    public data class Placed(val request: RequestId, val place: AttemptPlace) : ReplicationEvent()
+
+    /** The shard of [from] for the same requests sent [messages]. */
+    public data class Received(val from: Member, val messages: List<ReplicationMessage>) :
+        ReplicationEvent()
+
+    /** The claim in force about a member changed to [record]. */
+    public data class MemberChanged(val record: MemberRecord) : ReplicationEvent()
+
+    /** [verdict] is the one that the table keeps for [key]; written now or before. */
+    public data class Decided(val key: ReplicaKey, val verdict: Verdict) : ReplicationEvent()
+
+    /** The table did not answer for [key]; a verdict may have been written. */
+    public data class DecisionFailed(val key: ReplicaKey) : ReplicationEvent()
+
+    /** The node leaves: other nodes are to take over what it still owns. */
+    public data object HandOver : ReplicationEvent()
+
+    /** Time has passed; wanted every [ReplicationSettings.flushDelay]. */
     public data object Tick : ReplicationEvent()
 }
