--- a/library/src/main/kotlin/org/bilberrycart/journal/JournalAction.kt
+++ b/library/src/main/kotlin/org/bilberrycart/journal/JournalAction.kt
@@ -30,6 +30,9 @@
     /** Stop [attempt]; it is no longer the current one. */
     public data class CancelAttempt(val attempt: AttemptId) : JournalAction()
 
+    /** [attempt] is not wanted any more and has not been placed yet. */
+    public data class Withdraw(val attempt: AttemptId) : JournalAction()
+
     /** Ask the silent upstream of [attempt] on a new connection. */
     public data class Probe(val attempt: AttemptId) : JournalAction()
 
@@ -46,7 +49,7 @@
     /** Count a token that is not accepted. */
     public data class CountStray(val attempt: AttemptId, val index: Int) : JournalAction()
 
-    /** Count a loss, and when the answer goes on, the [latency] since the last token. */
+    /** Count the loss of [attempt]. */
     public data class CountLoss(val attempt: AttemptId, val cause: LossCause) : JournalAction()
 
     /** Count a resumed generation: [latency] from the last token before the loss to the next. */
