--- a/bench/src/main/kotlin/org/bilberrycart/bench/generations/SoakRun.kt
+++ b/bench/src/main/kotlin/org/bilberrycart/bench/generations/SoakRun.kt
@@ -8,6 +8,7 @@
 import kotlinx.collections.immutable.persistentHashMapOf
 import kotlinx.collections.immutable.persistentHashSetOf
 import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
 import kotlinx.collections.immutable.toPersistentMap
 import org.bilberrycart.membership.Member
 import org.bilberrycart.membership.MemberRecord
@@ -15,9 +16,10 @@
 import org.bilberrycart.model.AnswerPart
 import org.bilberrycart.model.DataCentreId
 import org.bilberrycart.model.EventId
-import org.bilberrycart.model.FinishReason
 import org.bilberrycart.model.Fingerprint
+import org.bilberrycart.model.FinishReason
 import org.bilberrycart.model.GenerationRequest
+import org.bilberrycart.model.Lineage
 import org.bilberrycart.model.ModelRef
 import org.bilberrycart.model.OrganisationId
 import org.bilberrycart.model.RequestClass
@@ -28,6 +30,7 @@
 import org.bilberrycart.model.Token
 import org.bilberrycart.model.VmId
 import org.bilberrycart.release.CallerId
+import org.bilberrycart.replication.Owned.HolderState
 import org.bilberrycart.replication.ReplicaKey
 import org.bilberrycart.replication.ReplicationAction
 import org.bilberrycart.replication.ReplicationEvent
@@ -106,6 +109,7 @@
         repeat(plan.faults) {
             schedule(between(0.seconds, plan.faultTime), SoakEvent.Strike(drawFault()))
         }
+        plan.script.forEach { schedule(it.at, SoakEvent.Scripted(it)) }
     }
 
     private fun open(number: Int): SoakEvent {
@@ -117,7 +121,7 @@
     private fun node(number: Int, run: Int): SoakNode {
         val vm = VmId("vm$number")
         val centre = DataCentreId("dc${number % plan.dataCentres}")
-        val member = Member(vm, "127.0.0.1", number, centre)
+        val member = Member(vm, "127.0.0.1", number, centre, run.toLong())
         return SoakNode(
             id = ProcessId(vm, run),
             member = member,
@@ -139,6 +143,7 @@
         is SoakEvent.Delivered -> delivered(event)
         is SoakEvent.CallerCut -> callerCut(event)
         is SoakEvent.CallerBack -> callerBack(event.request)
+        is SoakEvent.Scripted -> scripted(event.fault)
         is SoakEvent.Strike -> strike(event.fault)
         is SoakEvent.Mend -> mend(event.fault)
     }
@@ -186,7 +191,7 @@
         note(vm, action)
         when (action) {
             is ReplicationAction.Send -> send(vm, action)
-            is ReplicationAction.Answer -> transmit(vm, action.to.vm) { to ->
+            is ReplicationAction.Answer -> transmit(vm, action.to) { to ->
                 val from = nodes.getValue(vm).member
                 SoakEvent.Takeover(to, TakeoverEvent.Answered(from, action.message))
             }
@@ -207,7 +212,7 @@
             PlantedFault.NoFence -> action.messages.map(::withoutFence)
             PlantedFault.None, PlantedFault.ForgetfulTable -> action.messages
         }
-        transmit(vm, action.to.vm) { to ->
+        transmit(vm, action.to) { to ->
             val from = nodes.getValue(vm).member
             SoakEvent.Replication(to, ReplicationEvent.Received(from, messages))
         }
@@ -220,10 +225,11 @@
             message
         }
 
-    private fun transmit(from: VmId, to: VmId, event: (ProcessId) -> SoakEvent) {
-        val target = nodes.getValue(to).id
-        val isCut = cuts.any { setOf(it.one, it.other) == setOf(from, to) }
-        if (isCut || chance(plan.loss)) return
+    private fun transmit(from: VmId, to: Member, event: (ProcessId) -> SoakEvent) {
+        val node = nodes.getValue(to.vm)
+        val target = node.id
+        val isCut = cuts.any { setOf(it.one, it.other) == setOf(from, to.vm) }
+        if (isCut || node.member != to || chance(plan.loss)) return
         val item = event(target)
         schedule(latency(), item)
         if (chance(plan.loss)) schedule(latency() * REPEAT_DELAY, item)
@@ -250,8 +256,10 @@
         action.tokens.forEach { token -> checkCanonical(action.request, token) }
         val outlet = outlet(vm, action.request)
         val added = action.tokens.map { SoakNode.Released(action.epoch, it) }
-        val fresh = added.filter { it.token.index >= outlet.released.size }
-        putOutlet(vm, action.request, outlet.copy(released = outlet.released.addAll(fresh)))
+        if (added.first().token.index != outlet.released.size) {
+            fail("release_order", action.request, "$action after ${outlet.released.size}")
+        }
+        putOutlet(vm, action.request, outlet.copy(released = outlet.released.addAll(added)))
         serve(vm, action.request)
     }
 
@@ -291,7 +299,7 @@
                 serve(vm, action.request)
             }
             is TakeoverAction.Replay -> {
-                val released = action.tokens.map { SoakNode.Released(action.epoch, it) }
+                val released = stamped(action.tokens, action.lineage)
                 action.tokens.forEach { checkCanonical(action.request, it) }
                 val whole = SoakNode.Outlet(
                     persistentListOf<SoakNode.Released>().addAll(released),
@@ -313,7 +321,7 @@
         if (action.to.vm == vm) {
             schedule(HOP, SoakEvent.Replication(from.id, event))
         } else {
-            transmit(vm, action.to.vm) { SoakEvent.Replication(it, event) }
+            transmit(vm, action.to) { SoakEvent.Replication(it, event) }
         }
     }
 
@@ -322,8 +330,9 @@
         val node = nodes.getValue(vm)
         if ((node.journals[id]?.epoch ?: 0) >= action.epoch) return
         val journal = SoakNode.Journal(action.generation, action.epoch, action.tokens.size)
+        action.tokens.forEach { checkCanonical(id, it) }
         val outlet = SoakNode.Outlet(
-            released = node.outlets[id]?.released ?: persistentListOf(),
+            released = stamped(action.tokens, action.lineage).toPersistentList(),
             readers = node.outlets[id]?.readers ?: persistentHashMapOf(),
         )
         nodes = nodes.put(
@@ -336,6 +345,9 @@
         begin(vm, action.generation, action.epoch)
     }
 
+    private fun stamped(tokens: List<Token>, lineage: Lineage) =
+        tokens.map { SoakNode.Released(lineage.epochOf(it.index), it) }
+
     private fun begin(vm: VmId, generation: GenerationRequest, epoch: Int) {
         replicate(vm, ReplicationEvent.Began(generation, epoch))
         val id = nodes.getValue(vm).id
@@ -426,6 +438,7 @@
         if (part.code == ResultCode.FENCED || part.code.retryable || part.code == LATER) {
             cutCaller(caller)
         } else {
+            if (plan.mustSurvive) fail("answer_survives", caller.request, "${part.code}")
             callers = callers.put(caller.request, caller.copy(end = part))
         }
     }
@@ -511,6 +524,24 @@
         }
     }
 
+    private fun scripted(fault: ScriptedFault) {
+        val request = RequestId("r0")
+        val owner = nodes.values.firstOrNull { it.isAlive && request in it.journals } ?: return
+        val state = owner.replication.owned[request]?.holder as? HolderState.Active
+        val holder = state?.member?.vm ?: return
+        val struck = when (fault.role) {
+            ScriptedFault.Role.OWNER -> listOf(owner.id.vm)
+            ScriptedFault.Role.HOLDER -> listOf(holder)
+            ScriptedFault.Role.BOTH -> listOf(owner.id.vm, holder)
+        }
+        when (fault.kind) {
+            ScriptedFault.Kind.KILL -> struck.forEach { strike(Fault.Kill(it)) }
+            ScriptedFault.Kind.PAUSE -> struck.forEach { strike(Fault.Pause(it)) }
+            ScriptedFault.Kind.LEAVE -> struck.forEach { strike(Fault.Leave(it)) }
+            ScriptedFault.Kind.CUT -> strike(Fault.Cut(owner.id.vm, holder))
+        }
+    }
+
     private fun strike(fault: Fault) {
         struck++
         noteFault("strikes", fault)
--- a/bench/src/main/kotlin/org/bilberrycart/bench/pipeline/FakeEngines.kt
+++ b/bench/src/main/kotlin/org/bilberrycart/bench/pipeline/FakeEngines.kt
@@ -39,6 +39,7 @@
         when (action) {
             is DispatchAction.Open -> open(action.placement, action.upstream)
             is DispatchAction.Abort -> abort(action)
+            is DispatchAction.Detach -> streams = streams.remove(action.attempt)
             is DispatchAction.SendProbe -> probe(action)
             is DispatchAction.Reopen -> reopen(action)
             is DispatchAction.NotSent -> output.notSent(action)
--- a/bench/src/main/kotlin/org/bilberrycart/bench/pipeline/PipelineRun.kt
+++ b/bench/src/main/kotlin/org/bilberrycart/bench/pipeline/PipelineRun.kt
@@ -12,6 +12,7 @@
 import org.bilberrycart.dispatch.UpstreamOutput
 import org.bilberrycart.health.HealthEvent
 import org.bilberrycart.journal.JournalAction
+import org.bilberrycart.membership.Member
 import org.bilberrycart.model.AnswerPart
 import org.bilberrycart.model.Fingerprint
 import org.bilberrycart.model.GenerationRequest
@@ -20,8 +21,11 @@
 import org.bilberrycart.model.Sampling
 import org.bilberrycart.model.Upstream
 import org.bilberrycart.node.NodeObserver
+import org.bilberrycart.node.PeerPort
 import org.bilberrycart.node.Pipeline
+import org.bilberrycart.node.PipelineFilters
 import org.bilberrycart.node.PipelinePorts
+import org.bilberrycart.peer.PeerEvent
 import org.bilberrycart.pipeline.Clock
 import org.bilberrycart.pipeline.Ring
 import org.bilberrycart.pipeline.Sink
@@ -34,8 +38,11 @@
  * The duties are not started: [seed] decides which of them steps next, which engine sends, which
  * fault happens and how time passes. The same seed gives the same run.
  */
-internal class PipelineRun(private val seed: Long, isTraced: Boolean = false) :
-    PipelinePorts,
+internal class PipelineRun(
+    private val seed: Long,
+    isTraced: Boolean = false,
+    filters: PipelineFilters = PipelineFilters(),
+) : PipelinePorts,
     NodeObserver {
     private val random = Random(seed)
     private val time = TestTimeSource()
@@ -44,7 +51,15 @@
     private val fleet = TrialSettings.settings(List(ENGINES) { it + 1 }, SLOTS)
     private val engineList = fleet.fleet.declaredUpstreams().sortedBy { it.id.value }
     private lateinit var engines: FakeEngines
-    private val pipeline = Pipeline(fleet, clock, ports = this, observer = this, seed = seed)
+    private val pipeline = Pipeline(
+        settings = fleet,
+        clock = clock,
+        ports = this,
+        observer = this,
+        filters = filters,
+        seed = seed,
+        startedMillis = 1,
+    )
     private var callers: PersistentList<FakeCaller> = persistentListOf()
     private var faults = 0L
 
@@ -54,6 +69,11 @@
     override fun upstreams(output: UpstreamOutput): Sink<DispatchAction> =
         FakeEngines(random, output, watch).also { engines = it }
 
+    override fun peers(inbound: Ring<PeerEvent>): PeerPort {
+        val self = Member(fleet.node.vm, LOOPBACK, port = 1, fleet.node.dataCentre)
+        return PeerPort(self) {}
+    }
+
     override fun loads(ring: Ring<HealthEvent>): Sink<Upstream> = Sink { upstream ->
         if (upstream.id in engines.left) ring.offer(HealthEvent.LeavingHeard(upstream.id, 1))
     }
@@ -101,6 +121,7 @@
     private fun pass(step: Duration) {
         time += step
         pipeline.ticks.forEach { it.fire() }
+        pipeline.flushTicks.forEach { it.fire() }
     }
 
     private fun ask() {
@@ -183,6 +204,7 @@
     )
 
     private companion object {
+        const val LOOPBACK = "127.0.0.1"
         const val ENGINES = 4
         const val SLOTS = 4
         const val STEPS = 6_000
--- a/bench/src/main/kotlin/org/bilberrycart/bench/pipeline/PipelineSoak.kt
+++ b/bench/src/main/kotlin/org/bilberrycart/bench/pipeline/PipelineSoak.kt
@@ -7,6 +7,10 @@
         .map(::runSeed)
         .reduce(PipelineReport()) { left, right -> left + right }
 
+    /** Returns the end of the trace of the run with [seed]. */
+    fun trace(seed: Long): List<String> =
+        PipelineRun(seed, isTraced = true).run { run().let { trace } }
+
     private fun runSeed(seed: Long): PipelineReport {
         val report = PipelineRun(seed).run()
         if (report.violations.isEmpty()) return report
--- /dev/null
+++ b/bench/src/test/kotlin/org/bilberrycart/bench/pipeline/PipelineRunTest.kt
@@ -0,0 +1,112 @@
+package org.bilberrycart.bench.pipeline
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.datatest.withData
+import io.kotest.engine.names.WithDataTestName
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldNotBeEmpty
+import io.kotest.matchers.shouldBe
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
+import org.bilberrycart.dispatch.DispatchAction
+import org.bilberrycart.dispatch.DispatchFilter
+import org.bilberrycart.journal.JournalAction
+import org.bilberrycart.journal.JournalFilter
+import org.bilberrycart.model.Token
+import org.bilberrycart.node.PipelineFilters
+import org.bilberrycart.pipeline.Step
+
+private data class PlantedFault(val name: String, val filters: PipelineFilters) :
+    WithDataTestName {
+    override fun dataTestName(): String = name
+}
+
+private val real = JournalFilter()
+
+/** The journal with each of its actions replaced by what [change] gives for it. */
+private fun journalWith(change: (JournalAction) -> List<JournalAction>) = PipelineFilters(
+    journal = { state, event, now ->
+        val step = real.step(state, event, now)
+        Step(step.state, step.actions.flatMap(change).toPersistentList())
+    },
+)
+
+private fun dispatchWithout(isLeftOut: (DispatchAction) -> Boolean) = PipelineFilters(
+    dispatch = { state, event, now ->
+        val step = DispatchFilter().step(state, event, now)
+        Step(step.state, step.actions.removeAll(isLeftOut))
+    },
+)
+
+class PipelineRunTest :
+    FunSpec({
+        val seeds = 1L..12L
+
+        test("faults of engines and callers break no promise") {
+            val report = PipelineSoak.run(seeds)
+            report.violations.shouldBeEmpty()
+            report.seeds shouldBe seeds.count()
+        }
+
+        test("the same seed gives the same run") {
+            PipelineRun(seed = 3).run() shouldBe PipelineRun(seed = 3).run()
+        }
+
+        context("the run finds a planted fault") {
+            withData(
+                PlantedFault(
+                    name = "a journal that appends each token twice",
+                    filters = journalWith {
+                        if (it is JournalAction.Append) listOf(it, it) else listOf(it)
+                    },
+                ),
+                PlantedFault(
+                    name = "a journal that lets stray tokens in",
+                    filters = journalWith {
+                        when (it) {
+                            is JournalAction.CountStray -> listOf(
+                                JournalAction.Append(
+                                    it.attempt.request,
+                                    it.attempt.epoch,
+                                    Token(it.index, "stray"),
+                                ),
+                            )
+                            else -> listOf(it)
+                        }
+                    },
+                ),
+                PlantedFault(
+                    name = "a journal that does not resume",
+                    filters = journalWith {
+                        if (it is JournalAction.Resume) emptyList() else listOf(it)
+                    },
+                ),
+                PlantedFault(
+                    name = "a journal that resumes without the tokens it has",
+                    filters = journalWith {
+                        when (it) {
+                            is JournalAction.Resume -> listOf(
+                                it.copy(
+                                    placement = it.placement.copy(prefix = persistentListOf()),
+                                ),
+                            )
+                            else -> listOf(it)
+                        }
+                    },
+                ),
+                PlantedFault(
+                    name = "a journal that does not report the end of attempts",
+                    filters = journalWith {
+                        if (it is JournalAction.ReportOutcome) emptyList() else listOf(it)
+                    },
+                ),
+                PlantedFault(
+                    name = "a dispatch that does not stop cancelled attempts",
+                    filters = dispatchWithout { it is DispatchAction.Abort },
+                ),
+            ) { fault ->
+                seeds.flatMap { PipelineRun(it, filters = fault.filters).run().violations }
+                    .shouldNotBeEmpty()
+            }
+        }
+    })
--- a/daemon/src/main/kotlin/org/bilberrycart/daemon/SoakPipelineCommand.kt
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/SoakPipelineCommand.kt
@@ -16,12 +16,14 @@
     private val seeds by option(help = "the seeds to run, as FROM..TO")
         .convert { seedRange(it) ?: fail("expected FROM..TO, got $it") }
         .default(1L..1_000L)
+    private val trace by option(help = "print the end of the trace of each seed").flag()
     private val json by option(help = "print one JSON object only").flag()
 
     override fun help(context: Context): String =
         "Engines die, pause and go silent; callers vanish, return and cancel."
 
     override fun run() {
+        if (trace) seeds.forEach { seed -> PipelineSoak.trace(seed).forEach { echo(it) } }
         val report = PipelineSoak.run(seeds)
         echo(if (json) Json.encodeToString(PipelineReport.serializer(), report) else text(report))
         if (report.violations.isNotEmpty()) throw ProgramResult(1)
--- a/library/src/main/kotlin/org/bilberrycart/dispatch/DispatchAction.kt
+++ b/library/src/main/kotlin/org/bilberrycart/dispatch/DispatchAction.kt
@@ -14,6 +14,9 @@
     /** Close the exchange of [attempt] and tell [upstream] to stop the work. */
     public data class Abort(val attempt: AttemptId, val upstream: Upstream) : DispatchAction()
 
+    /** Close the exchange of [attempt] without a word to its upstream. */
+    public data class Detach(val attempt: AttemptId) : DispatchAction()
+
     /** Probe [upstream] on a new connection. */
     public data class SendProbe(val attempt: AttemptId, val upstream: Upstream) : DispatchAction()
 
--- a/library/src/main/kotlin/org/bilberrycart/dispatch/DispatchEvent.kt
+++ b/library/src/main/kotlin/org/bilberrycart/dispatch/DispatchEvent.kt
@@ -13,6 +13,9 @@
     /** Stop [attempt], on the upstream too. */
     public data class Cancel(val attempt: AttemptId) : DispatchEvent()
 
+    /** Stop reading the stream of [attempt], but let the upstream go on. */
+    public data class Detach(val attempt: AttemptId) : DispatchEvent()
+
     /** Ask the upstream of [attempt], on a new connection, whether it is alive. */
     public data class Probe(val attempt: AttemptId) : DispatchEvent()
 
--- a/library/src/main/kotlin/org/bilberrycart/dispatch/DispatchFilter.kt
+++ b/library/src/main/kotlin/org/bilberrycart/dispatch/DispatchFilter.kt
@@ -24,6 +24,7 @@
     ): Step<DispatchState, DispatchAction> = when (event) {
         is DispatchEvent.Start -> start(state, event, now)
         is DispatchEvent.Cancel -> cancel(state, event.attempt)
+        is DispatchEvent.Detach -> detach(state, event.attempt)
         is DispatchEvent.Probe -> withOpen(state, event.attempt) { upstream ->
             DispatchAction.SendProbe(event.attempt, upstream)
         }
@@ -83,6 +84,17 @@
         )
     }
 
+    private fun detach(
+        state: DispatchState,
+        attempt: AttemptId,
+    ): Step<DispatchState, DispatchAction> {
+        if (attempt !in state.open) return Step(state)
+        return Step(
+            state.copy(open = state.open.remove(attempt)),
+            persistentListOf(DispatchAction.Detach(attempt)),
+        )
+    }
+
     private inline fun withOpen(
         state: DispatchState,
         attempt: AttemptId,
--- a/library/src/main/kotlin/org/bilberrycart/dispatch/UpstreamClient.kt
+++ b/library/src/main/kotlin/org/bilberrycart/dispatch/UpstreamClient.kt
@@ -35,6 +35,7 @@
         when (action) {
             is DispatchAction.Open -> open(action.placement, action.upstream)
             is DispatchAction.Abort -> abort(action.attempt, action.upstream)
+            is DispatchAction.Detach -> detach(action.attempt)
             is DispatchAction.SendProbe -> probe(action.attempt, action.upstream)
             is DispatchAction.Reopen -> reopen(action)
             is DispatchAction.Forget -> exchanges = exchanges.remove(action.attempt)
@@ -101,6 +102,12 @@
         }
     }
 
+    private fun detach(attempt: AttemptId) {
+        val exchange = exchanges[attempt] ?: return
+        exchanges = exchanges.remove(attempt)
+        if (exchange.abort()) output.aborted(attempt, exchange.request, exchange.upstream)
+    }
+
     private fun probe(attempt: AttemptId, upstream: Upstream) {
         val exchange = exchanges[attempt] ?: return
         fresh(upstream, "/v1/health")
--- a/library/src/main/kotlin/org/bilberrycart/journal/EndSteps.kt
+++ b/library/src/main/kotlin/org/bilberrycart/journal/EndSteps.kt
@@ -38,3 +38,11 @@
         JournalAction.ReportOutcome(contender.attempt, upstream, outcome),
     )
 }
+
+internal fun detach(contender: Contender): List<JournalAction> {
+    val upstream = contender.upstream ?: return listOf(JournalAction.Withdraw(contender.attempt))
+    return listOf(
+        JournalAction.Detach(contender.attempt),
+        JournalAction.ReportOutcome(contender.attempt, upstream, AttemptOutcome.Cancelled),
+    )
+}
--- a/library/src/main/kotlin/org/bilberrycart/journal/JournalAction.kt
+++ b/library/src/main/kotlin/org/bilberrycart/journal/JournalAction.kt
@@ -30,6 +30,9 @@
     /** Stop [attempt]; it is no longer the current one. */
     public data class CancelAttempt(val attempt: AttemptId) : JournalAction()
 
+    /** Stop reading the stream of [attempt], but let the engine go on. */
+    public data class Detach(val attempt: AttemptId) : JournalAction()
+
     /** [attempt] is not wanted any more and has not been placed yet. */
     public data class Withdraw(val attempt: AttemptId) : JournalAction()
 
--- a/library/src/main/kotlin/org/bilberrycart/journal/JournalEvent.kt
+++ b/library/src/main/kotlin/org/bilberrycart/journal/JournalEvent.kt
@@ -33,6 +33,13 @@
         override val request: RequestId get() = generation.id
     }
 
+    /**
+     * Another node owns the generation now, in a later epoch than [epoch].
+     *
+     * The stream of the engine is left alone, since the new owner may read it.
+     */
+    public data class Disowned(override val request: RequestId, val epoch: Int) : JournalEvent()
+
     /** [attempt] was sent to [upstream]. */
     public data class Placed(val attempt: AttemptId, val upstream: UpstreamId) : JournalEvent() {
         override val request: RequestId get() = attempt.request
--- a/library/src/main/kotlin/org/bilberrycart/journal/JournalFilter.kt
+++ b/library/src/main/kotlin/org/bilberrycart/journal/JournalFilter.kt
@@ -3,6 +3,7 @@
 import kotlin.time.Duration
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
 import org.bilberrycart.model.AnswerPart
 import org.bilberrycart.model.AttemptId
 import org.bilberrycart.model.AttemptOutcome
@@ -27,6 +28,7 @@
     ): Step<JournalState, JournalAction> = when (event) {
         is JournalEvent.Opened -> open(state, event, now)
         is JournalEvent.Adopted -> adopt(state, event, now)
+        is JournalEvent.Disowned -> disowned(state, event)
         is JournalEvent.Placed -> placed(state, event, now)
         is JournalEvent.Accepted -> accepted(state, event, now)
         is JournalEvent.Unplaceable -> unplaceable(state, event)
@@ -77,6 +79,13 @@
         return begun.then { resume(it, generation, now) }
     }
 
+    private fun disowned(state: JournalState, event: JournalEvent.Disowned): JournalStep {
+        val generation = state.generations[event.request]
+        if (generation == null || generation.epoch > event.epoch) return Step(state)
+        val detached = generation.contenders.flatMap(::detach)
+        return Step(state.remove(event.request), detached.toPersistentList())
+    }
+
     private fun placed(
         state: JournalState,
         event: JournalEvent.Placed,
--- a/library/src/main/kotlin/org/bilberrycart/node/NodeSinks.kt
+++ b/library/src/main/kotlin/org/bilberrycart/node/ForwardSinks.kt
@@ -4,12 +4,10 @@
 import org.bilberrycart.admission.AdmissionEvent
 import org.bilberrycart.dispatch.DispatchEvent
 import org.bilberrycart.health.HealthAction
-import org.bilberrycart.http.Callers
 import org.bilberrycart.idempotency.IdempotencyAction
 import org.bilberrycart.idempotency.IdempotencyContext
 import org.bilberrycart.idempotency.IdempotencyEvent
 import org.bilberrycart.idempotency.IdempotencyStore
-import org.bilberrycart.journal.JournalAction
 import org.bilberrycart.journal.JournalEvent
 import org.bilberrycart.model.AnswerPart
 import org.bilberrycart.model.AttemptId
@@ -22,23 +20,22 @@
 import org.bilberrycart.pipeline.Sink
 import org.bilberrycart.platform.StoreContext
 import org.bilberrycart.platform.StoreResult
-import org.bilberrycart.release.ReleaseAction
 import org.bilberrycart.release.ReleaseEvent
-import org.bilberrycart.replication.ReplicationAction
-import org.bilberrycart.replication.ReplicationEvent
+import org.bilberrycart.replication.VerdictStore
 import org.bilberrycart.routing.RoutingAction
 import org.bilberrycart.routing.RoutingEvent
 import org.bilberrycart.settings.FleetSettings
+import org.bilberrycart.suspect.SuspectAction
+import org.bilberrycart.suspect.SuspectEvent
 
-/** Carries the actions of each filter into the ring of the next one. */
-internal class NodeSinks(
+/** Carries the actions on the way from callers to upstreams into the ring of the next filter. */
+internal class ForwardSinks(
     private val rings: NodeRings,
-    private val callers: Callers,
     private val loads: Sink<Upstream>,
-    private val observer: NodeObserver,
     private val fleet: () -> FleetSettings,
 ) {
-    private val store = IdempotencyStore()
+    private val records = IdempotencyStore()
+    private val verdicts = VerdictStore()
 
     fun admission(action: AdmissionAction) {
         when (action) {
@@ -56,7 +53,7 @@
                 val policy = fleet().generationPolicy(request.service)
                 rings.journal.of(request.id).put(JournalEvent.Opened(request, policy))
                 val first = AttemptId(request.id, epoch = 1, number = 1)
-                rings.routing.put(RoutingEvent.Place(Placement(first, request)))
+                rings.suspect.put(SuspectEvent.Place(Placement(first, request)))
             }
             is ServiceCall -> rings.idempotency.put(IdempotencyEvent.Arrived(request))
         }
@@ -64,8 +61,8 @@
 
     fun idempotency(action: IdempotencyAction) {
         when (action) {
-            is IdempotencyAction.Store -> rings.platform.put(store.toCall(action))
-            is IdempotencyAction.Place -> rings.routing.put(RoutingEvent.Place(action.placement))
+            is IdempotencyAction.Store -> rings.platform.put(records.toCall(action))
+            is IdempotencyAction.Place -> rings.suspect.put(SuspectEvent.Place(action.placement))
             is IdempotencyAction.Cancel ->
                 rings.dispatch.put(DispatchEvent.Cancel(action.attempt))
             is IdempotencyAction.Deliver -> rings.release.of(action.request)
@@ -73,22 +70,11 @@
         }
     }
 
-    fun platformResult(context: StoreContext, result: StoreResult) {
-        when (context) {
-            is IdempotencyContext -> rings.idempotency.put(store.toEvent(context, result))
-        }
-    }
-
-    fun health(action: HealthAction) {
+    fun suspect(action: SuspectAction) {
         when (action) {
-            is HealthAction.Poll -> loads.accept(action.upstream)
-            is HealthAction.Report ->
-                rings.routing.offer(RoutingEvent.LoadReported(action.upstream, action.load))
-            is HealthAction.Leaving -> {
-                rings.dispatch.put(DispatchEvent.Leaving(action.upstream))
-                rings.routing.put(RoutingEvent.Leaving(action.upstream, action.incarnation))
-            }
-            is HealthAction.Returned -> rings.dispatch.put(DispatchEvent.Returned(action.upstream))
+            is SuspectAction.Place -> rings.routing.put(RoutingEvent.Place(action.placement))
+            is SuspectAction.Refuse -> unplaceable(action.attempt, action.request, action.code)
+            is SuspectAction.Spread -> Unit
         }
     }
 
@@ -98,7 +84,10 @@
                 rings.admission.put(AdmissionEvent.Started(action.placement.request.id))
                 rings.dispatch.put(DispatchEvent.Start(action.placement, action.upstream))
             }
-            is RoutingAction.Unplaceable -> unplaceable(action)
+            is RoutingAction.Unplaceable -> {
+                rings.suspect.put(SuspectEvent.NotPlaced(action.attempt))
+                unplaceable(action.attempt, action.request, action.code)
+            }
             is RoutingAction.AnnounceClosed -> Unit
             is RoutingAction.ReportCapacity -> rings.admission.put(
                 AdmissionEvent.CapacityChanged(action.service, action.slots, action.others),
@@ -106,60 +95,33 @@
         }
     }
 
-    private fun unplaceable(action: RoutingAction.Unplaceable) {
-        when (action.request) {
-            is GenerationRequest -> rings.journal.of(action.request.id)
-                .put(JournalEvent.Unplaceable(action.attempt, action.code))
-            is ServiceCall -> rings.idempotency.put(
-                IdempotencyEvent.Unplaceable(action.attempt, action.code),
-            )
-        }
-    }
-
-    fun journal(action: JournalAction) {
-        when (action) {
-            is JournalAction.Begin -> rings.replication.of(action.generation.id)
-                .put(ReplicationEvent.Began(action.generation, action.epoch))
-            is JournalAction.Append -> rings.replication.of(action.request)
-                .putBulk(ReplicationEvent.Appended(action.request, action.epoch, action.token))
-            is JournalAction.Complete -> rings.replication.of(action.request)
-                .put(ReplicationEvent.Completed(action.request, action.epoch, action.end))
-            is JournalAction.Resume -> rings.routing.put(RoutingEvent.Place(action.placement))
-            is JournalAction.Withdraw -> rings.routing.put(RoutingEvent.Withdraw(action.attempt))
-            is JournalAction.CancelAttempt ->
-                rings.dispatch.put(DispatchEvent.Cancel(action.attempt))
-            is JournalAction.Probe -> rings.dispatch.put(DispatchEvent.Probe(action.attempt))
-            is JournalAction.Reattach ->
-                rings.dispatch.put(DispatchEvent.Reattach(action.attempt, action.from))
-            is JournalAction.ReportOutcome -> rings.routing.put(
-                RoutingEvent.AttemptEnded(action.attempt, action.upstream, action.outcome),
-            )
-            is JournalAction.CountStray,
-            is JournalAction.CountLoss,
-            is JournalAction.CountResume,
-            -> observer.journal(action)
+    private fun unplaceable(attempt: AttemptId, request: Request, code: ResultCode) {
+        when (request) {
+            is GenerationRequest ->
+                rings.journal.of(request.id).put(JournalEvent.Unplaceable(attempt, code))
+            is ServiceCall -> rings.idempotency.put(IdempotencyEvent.Unplaceable(attempt, code))
         }
     }
 
-    fun replication(action: ReplicationAction) {
+    fun health(action: HealthAction) {
         when (action) {
-            is ReplicationAction.Release -> rings.release.of(action.request)
-                .putBulk(ReleaseEvent.Released(action.request, action.epoch, action.tokens))
-            is ReplicationAction.ReleaseEnd -> rings.release.of(action.request)
-                .put(ReleaseEvent.Ended(action.request, action.end))
+            is HealthAction.Poll -> loads.accept(action.upstream)
+            is HealthAction.Report ->
+                rings.routing.offer(RoutingEvent.LoadReported(action.upstream, action.load))
+            is HealthAction.Leaving -> {
+                rings.dispatch.put(DispatchEvent.Leaving(action.upstream))
+                rings.suspect.put(SuspectEvent.Leaving(action.upstream))
+                rings.routing.put(RoutingEvent.Leaving(action.upstream, action.incarnation))
+            }
+            is HealthAction.Returned -> rings.dispatch.put(DispatchEvent.Returned(action.upstream))
         }
     }
 
-    fun release(action: ReleaseAction) {
-        when (action) {
-            is ReleaseAction.Deliver -> callers.deliver(action.caller, action.part)
-            is ReleaseAction.Over ->
-                rings.admission.put(AdmissionEvent.Ended(action.request, action.tokens))
-            is ReleaseAction.Abandon -> rings.journal.of(action.request)
-                .put(JournalEvent.Stop(action.request, action.code))
-            is ReleaseAction.Locate -> rings.release.of(action.request).put(
-                ReleaseEvent.Refused(action.request, action.caller, ResultCode.NOT_FOUND),
-            )
+    fun platformResult(context: StoreContext, result: StoreResult) {
+        when (context) {
+            is IdempotencyContext -> rings.idempotency.put(records.toEvent(context, result))
+            is VerdictStore.Context -> rings.replication.of(context.key.request)
+                .put(verdicts.toEvent(context, result))
         }
     }
 }
--- a/library/src/main/kotlin/org/bilberrycart/node/Node.kt
+++ b/library/src/main/kotlin/org/bilberrycart/node/Node.kt
@@ -2,8 +2,12 @@
 
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import org.bilberrycart.http.CallerApi
 import org.bilberrycart.http.HttpServer
+import org.bilberrycart.membership.Member
+import org.bilberrycart.membership.MemberRecord
+import org.bilberrycart.membership.PeerAddress
 import org.bilberrycart.pipeline.Clock
 import org.bilberrycart.pipeline.RingStats
 import org.bilberrycart.settings.Endpoint
@@ -16,11 +20,13 @@
     private val settings: Settings,
     private val clock: Clock = Clock(),
     observer: NodeObserver = NodeObserver.None,
+    peerSecret: String? = System.getenv(settings.node.peerSecretVariable),
 ) : AutoCloseable {
     private val limits = settings.fleet.limits
-    private val ports = NetworkPorts(settings.node)
+    private val ports = NetworkPorts(settings.node, clock, peerSecret)
     private val pipeline = Pipeline(settings, clock, ports, observer)
     private val ticker = Ticker(TICK_PERIOD, pipeline.ticks)
+    private val flushTicker = Ticker(FLUSH_PERIOD, pipeline.flushTicks)
     private val server = HttpServer(
         endpoint = settings.node.callers,
         threads = limits.generations + SPARE_THREADS,
@@ -32,15 +38,25 @@
     public val callersEndpoint: Endpoint
         get() = server.bound
 
-    /** The requests that were admitted and are not over. */
+    /** Where other nodes connect. */
+    public val self: Member
+        get() = pipeline.self
+
+    /** The nodes that this one knows, itself not included. */
+    public val members: List<MemberRecord>
+        get() = pipeline.membership.records.values.toList()
+
+    /** The requests that are not over: those admitted here and those taken over. */
     public val inFlight: Int
-        get() = pipeline.admission.requests.size
+        get() = maxOf(pipeline.admission.requests.size, pipeline.journals.sumOf { it.size })
 
     /** Starts the duties, then the front end. */
     public fun start(): Node = apply {
         pipeline.start()
         pipeline.configure(settings.fleet)
+        pipeline.discover(settings.node.seeds.map { PeerAddress(it.address, it.port) })
         ticker.start()
+        flushTicker.start()
         server.start()
         log.info("event=node_started vm={} callers={}", settings.node.vm, callersEndpoint)
     }
@@ -50,12 +66,22 @@
 
     /**
      * Stops the node gracefully: takes no new work and waits, at most the limit of the settings,
-     * until no request is in progress. Returns whether all of them ended.
+     * until no request is in progress; generations that run on are handed to other nodes. Returns
+     * whether none is left.
      */
     public fun drain(): Boolean {
         log.info("event=node_draining vm={} in_flight={}", settings.node.vm, inFlight)
         pipeline.drain()
-        val deadline = clock.now() + limits.drain
+        if (!awaitIdle(limits.drain)) {
+            pipeline.handOver()
+            awaitIdle(HAND_OVER_LIMIT)
+        }
+        pipeline.leave()
+        return inFlight == 0
+    }
+
+    private fun awaitIdle(limit: Duration): Boolean {
+        val deadline = clock.now() + limit
         while (clock.now() < deadline && (inFlight > 0 || pipeline.callers.size > 0)) {
             Thread.sleep(DRAIN_POLL.inWholeMilliseconds)
         }
@@ -65,6 +91,7 @@
     override fun close() {
         server.close()
         ticker.close()
+        flushTicker.close()
         ports.close()
         pipeline.close()
         log.info("event=node_stopped vm={}", settings.node.vm)
@@ -72,6 +99,8 @@
 
     private companion object {
         val TICK_PERIOD: Duration = 20.milliseconds
+        val FLUSH_PERIOD: Duration = 2.milliseconds
+        val HAND_OVER_LIMIT: Duration = 5.seconds
         val DRAIN_POLL: Duration = 50.milliseconds
         const val SPARE_THREADS = 64
     }
--- a/library/src/main/kotlin/org/bilberrycart/node/NodeDuties.kt
+++ b/library/src/main/kotlin/org/bilberrycart/node/NodeDuties.kt
@@ -4,20 +4,23 @@
 import org.bilberrycart.admission.AdmissionFilter
 import org.bilberrycart.admission.AdmissionState
 import org.bilberrycart.dispatch.DispatchAction
-import org.bilberrycart.dispatch.DispatchFilter
 import org.bilberrycart.dispatch.DispatchState
 import org.bilberrycart.health.HealthFilter
 import org.bilberrycart.health.HealthState
 import org.bilberrycart.idempotency.IdempotencyFilter
 import org.bilberrycart.idempotency.IdempotencyState
-import org.bilberrycart.journal.JournalFilter
 import org.bilberrycart.journal.JournalState
+import org.bilberrycart.membership.Member
+import org.bilberrycart.membership.MembershipFilter
+import org.bilberrycart.membership.MembershipState
+import org.bilberrycart.peer.PeerEvent
 import org.bilberrycart.pipeline.Clock
 import org.bilberrycart.pipeline.Duty
 import org.bilberrycart.pipeline.Filter
 import org.bilberrycart.pipeline.Ring
 import org.bilberrycart.pipeline.Shards
 import org.bilberrycart.pipeline.Sink
+import org.bilberrycart.pipeline.withActions
 import org.bilberrycart.platform.PlatformFilter
 import org.bilberrycart.platform.PlatformSink
 import org.bilberrycart.platform.PlatformState
@@ -25,29 +28,39 @@
 import org.bilberrycart.release.ReleaseFilter
 import org.bilberrycart.release.ReleaseSettings
 import org.bilberrycart.release.ReleaseState
-import org.bilberrycart.replication.SoloFilter
+import org.bilberrycart.replication.ReplicationFilter
+import org.bilberrycart.replication.ReplicationState
 import org.bilberrycart.routing.RoutingFilter
 import org.bilberrycart.routing.RoutingState
 import org.bilberrycart.settings.NodeSettings
+import org.bilberrycart.suspect.SuspectFilter
+import org.bilberrycart.suspect.SuspectState
+import org.bilberrycart.takeover.TakeoverFilter
+import org.bilberrycart.takeover.TakeoverState
 
 /** The duties of the pipeline, one thread each, in the order in which a request meets them. */
 internal class NodeDuties(
     settings: NodeSettings,
     releaseSettings: ReleaseSettings,
     rings: NodeRings,
-    sinks: NodeSinks,
+    forward: ForwardSinks,
+    back: ReturnSinks,
+    peers: PeerSinks,
+    self: Member,
     upstreams: Sink<DispatchAction>,
     table: TableClient,
     private val clock: Clock,
     private val observer: NodeObserver,
+    filters: PipelineFilters,
     seed: Long,
+    startedMillis: Long,
 ) {
     val admission = duty(
         name = "admission",
         ring = rings.admission,
         initial = AdmissionState(),
         filter = AdmissionFilter(),
-        sink = sinks::admission,
+        sink = forward::admission,
     )
     val idempotency = duty(
         name = "idempotency",
@@ -57,20 +70,27 @@
             seed = seed,
         ),
         filter = IdempotencyFilter(),
-        sink = sinks::idempotency,
+        sink = forward::idempotency,
+    )
+    val suspect = duty(
+        name = "suspect",
+        ring = rings.suspect,
+        initial = SuspectState(),
+        filter = SuspectFilter(),
+        sink = forward::suspect,
     )
     val routing = duty(
         name = "routing",
         ring = rings.routing,
         initial = RoutingState(settings.dataCentre, seed = seed),
         filter = RoutingFilter(),
-        sink = sinks::routing,
+        sink = forward::routing,
     )
     val dispatch = duty(
         name = "dispatch",
         ring = rings.dispatch,
         initial = DispatchState(),
-        filter = DispatchFilter(),
+        filter = filters.dispatch,
         sink = upstreams,
     )
     val health = duty(
@@ -78,37 +98,61 @@
         ring = rings.health,
         initial = HealthState(),
         filter = HealthFilter(),
-        sink = sinks::health,
+        sink = forward::health,
     )
     val platform = duty(
         name = "platform",
         ring = rings.platform,
         initial = PlatformState(seed = seed),
         filter = PlatformFilter(),
-        sink = PlatformSink(table, rings.platform, sinks::platformResult),
+        sink = PlatformSink(table, rings.platform, forward::platformResult),
     )
     val journal =
-        shards("journal", rings.journal, JournalState(), JournalFilter(), sinks::journal)
-    val replication =
-        shards("replication", rings.replication, Unit, SoloFilter(), sinks::replication)
+        shards("journal", rings.journal, JournalState(), filters.journal, back::journal)
+    val replication = shards(
+        name = "replication",
+        shards = rings.replication,
+        initial = ReplicationState(self),
+        filter = ReplicationFilter(),
+        sink = peers::replication,
+    )
     val release = shards(
         name = "release",
         shards = rings.release,
         initial = ReleaseState(),
         filter = ReleaseFilter(releaseSettings),
-        sink = sinks::release,
+        sink = back::release,
+    )
+
+    val takeover = duty(
+        name = "takeover",
+        ring = rings.takeover,
+        initial = TakeoverState(self, nextClaim = startedMillis),
+        filter = TakeoverFilter(),
+        sink = peers::takeover,
+    )
+    val membership = duty(
+        name = "membership",
+        ring = rings.membership,
+        initial = MembershipState(self, incarnation = startedMillis, seed = seed),
+        filter = MembershipFilter(),
+        sink = peers::membership,
+    )
+    private val inbound = duty(
+        name = "inbound",
+        ring = rings.inbound,
+        initial = Unit,
+        filter = { state, event: PeerEvent, _ -> state.withActions(event) },
+        sink = peers::inbound,
     )
 
-    val all: List<Duty<*, *, *>> =
-        listOf(
-            admission,
-            idempotency,
-            routing,
-            dispatch,
-            health,
-            platform,
-        ) + journal + replication +
-            release
+    val all: List<Duty<*, *, *>> = listOf(
+        listOf(admission, idempotency, suspect, routing, dispatch),
+        journal,
+        replication,
+        release,
+        listOf(takeover, platform, health, membership, inbound),
+    ).flatten()
 
     private fun <S : Any, E : Any, A : Any> shards(
         name: String,
--- a/library/src/main/kotlin/org/bilberrycart/node/Pipeline.kt
+++ b/library/src/main/kotlin/org/bilberrycart/node/Pipeline.kt
@@ -11,6 +11,10 @@
 import org.bilberrycart.idempotency.IdempotencyEvent
 import org.bilberrycart.journal.JournalEvent
 import org.bilberrycart.journal.JournalState
+import org.bilberrycart.membership.Member
+import org.bilberrycart.membership.MembershipEvent
+import org.bilberrycart.membership.MembershipState
+import org.bilberrycart.membership.PeerAddress
 import org.bilberrycart.pipeline.Clock
 import org.bilberrycart.pipeline.Duty
 import org.bilberrycart.pipeline.RingStats
@@ -22,6 +26,8 @@
 import org.bilberrycart.routing.RoutingState
 import org.bilberrycart.settings.FleetSettings
 import org.bilberrycart.settings.Settings
+import org.bilberrycart.suspect.SuspectEvent
+import org.bilberrycart.takeover.TakeoverEvent
 import org.bilberrycart.timer.Ticker
 
 /**
@@ -30,14 +36,18 @@
  * A [Node] starts the duties. A randomised run leaves them unstarted and steps each of [duties] as
  * it likes, under its own clock.
  *
+ * @param filters the decisions that a test may replace.
  * @param seed the seed of all random choices of the filters.
+ * @param startedMillis differs over restarts of the VM and rises, such as the time of day.
  */
 public class Pipeline(
     settings: Settings,
     clock: Clock,
     ports: PipelinePorts,
     observer: NodeObserver = NodeObserver.None,
+    filters: PipelineFilters = PipelineFilters(),
     seed: Long = Random.nextLong(),
+    startedMillis: Long = System.currentTimeMillis(),
 ) : AutoCloseable {
     private val fleet = AtomicReference(settings.fleet)
     private val releaseSettings = ReleaseSettings()
@@ -49,16 +59,22 @@
     /** The door for requests. */
     public val frontEnd: FrontEnd = PipelineFrontEnd(rings, clock, fleet::get)
 
+    private val peers = ports.peers(rings.inbound)
     private val parts = NodeDuties(
         settings = settings.node,
         releaseSettings = releaseSettings,
         rings = rings,
-        sinks = NodeSinks(rings, callers, ports.loads(rings.health), observer, fleet::get),
+        forward = ForwardSinks(rings, ports.loads(rings.health), fleet::get),
+        back = ReturnSinks(rings, callers, observer),
+        peers = PeerSinks(peers.self, rings, peers.links, clock, fleet::get),
+        self = peers.self,
         upstreams = ports.upstreams(UpstreamRelay(rings)),
         table = ports.table,
         clock = clock,
         observer = observer,
+        filters = filters,
         seed = seed,
+        startedMillis = startedMillis,
     )
 
     /** The duties, in the order in which a request meets them. */
@@ -69,14 +85,23 @@
         listOf(
             Ticker.Target(rings.admission, AdmissionEvent.Tick),
             Ticker.Target(rings.idempotency, IdempotencyEvent.Tick),
+            Ticker.Target(rings.suspect, SuspectEvent.Tick),
             Ticker.Target(rings.routing, RoutingEvent.Tick),
             Ticker.Target(rings.health, HealthEvent.Tick),
             Ticker.Target(rings.platform, PlatformEvent.Tick),
+            Ticker.Target(rings.takeover, TakeoverEvent.Tick),
+            Ticker.Target(rings.membership, MembershipEvent.Tick),
         ) +
             rings.journal.rings.map { Ticker.Target(it, JournalEvent.Tick) } +
-            rings.replication.rings.map { Ticker.Target(it, ReplicationEvent.Tick) } +
             rings.release.rings.map { Ticker.Target(it, ReleaseEvent.Tick) }
 
+    /** What replication gets from the timer, more often than the others. */
+    public val flushTicks: List<Ticker.Target<*>> =
+        rings.replication.rings.map { Ticker.Target(it, ReplicationEvent.Tick) }
+
+    /** This node as the others know it. */
+    public val self: Member = peers.self
+
     /** What admission knows. */
     public val admission: AdmissionState
         get() = parts.admission.snapshot
@@ -89,6 +114,10 @@
     public val dispatch: DispatchState
         get() = parts.dispatch.snapshot
 
+    /** What membership knows. */
+    public val membership: MembershipState
+        get() = parts.membership.snapshot
+
     /** What each journal shard knows. */
     public val journals: List<JournalState>
         get() = parts.journal.map { it.snapshot }
@@ -110,9 +139,25 @@
         rings.admission.put(AdmissionEvent.Configured(organisations))
     }
 
-    /** Refuses new requests from now on. */
+    /** Joins the nodes that listen at [addresses]. */
+    public fun discover(addresses: List<PeerAddress>) {
+        rings.membership.put(MembershipEvent.Discovered(addresses))
+    }
+
+    /** Refuses new requests from now on and tells the other nodes. */
     public fun drain() {
         rings.admission.put(AdmissionEvent.Drain)
+        rings.membership.put(MembershipEvent.Leave)
+    }
+
+    /** Hands the generations that still run to the holders of their replicas. */
+    public fun handOver() {
+        rings.replication.rings.forEach { it.put(ReplicationEvent.HandOver) }
+    }
+
+    /** Tells the other nodes that this one is gone. */
+    public fun leave() {
+        rings.membership.put(MembershipEvent.Left)
     }
 
     override fun close() {
--- a/library/src/main/kotlin/org/bilberrycart/node/PipelinePorts.kt
+++ b/library/src/main/kotlin/org/bilberrycart/node/PipelinePorts.kt
@@ -4,6 +4,7 @@
 import org.bilberrycart.dispatch.UpstreamOutput
 import org.bilberrycart.health.HealthEvent
 import org.bilberrycart.model.Upstream
+import org.bilberrycart.peer.PeerEvent
 import org.bilberrycart.pipeline.Ring
 import org.bilberrycart.pipeline.Sink
 import org.bilberrycart.platform.TableClient
@@ -16,6 +17,9 @@
     /** Returns what carries out dispatch actions; what upstreams bring goes to [output]. */
     public fun upstreams(output: UpstreamOutput): Sink<DispatchAction>
 
+    /** Returns the links to other nodes; what they send goes into [inbound]. */
+    public fun peers(inbound: Ring<PeerEvent>): PeerPort
+
     /** Returns what asks an upstream for its load; the answers go into [ring]. */
     public fun loads(ring: Ring<HealthEvent>): Sink<Upstream>
 }
--- a/library/src/main/kotlin/org/bilberrycart/node/UpstreamRelay.kt
+++ b/library/src/main/kotlin/org/bilberrycart/node/UpstreamRelay.kt
@@ -13,7 +13,6 @@
 import org.bilberrycart.model.Request
 import org.bilberrycart.model.ServiceCall
 import org.bilberrycart.model.Upstream
-import org.bilberrycart.routing.RoutingEvent
 
 /**
  * Puts what upstreams bring into the ring of the filter that owns the request.
@@ -105,6 +104,6 @@
     }
 
     private fun report(attempt: AttemptId, upstream: Upstream, outcome: AttemptOutcome) {
-        rings.routing.put(RoutingEvent.AttemptEnded(attempt, upstream.id, outcome))
+        rings.attemptEnded(attempt, upstream.id, outcome)
     }
 }
--- a/library/src/main/kotlin/org/bilberrycart/release/ReleaseEvent.kt
+++ b/library/src/main/kotlin/org/bilberrycart/release/ReleaseEvent.kt
@@ -36,6 +36,9 @@
         val tokens: PersistentList<Token>,
     ) : ReleaseEvent()
 
+    /** Another node owns the generation now; callers here are told, and may come back later. */
+    public data class Disowned(override val request: RequestId) : ReleaseEvent()
+
     /** No generation of this id can go on here for [caller]; [code] tells why. */
     public data class Refused(
         override val request: RequestId,
--- a/library/src/main/kotlin/org/bilberrycart/release/ReleaseFilter.kt
+++ b/library/src/main/kotlin/org/bilberrycart/release/ReleaseFilter.kt
@@ -27,6 +27,7 @@
         is ReleaseEvent.Expected -> expected(state, event)
         is ReleaseEvent.Reconnected -> reconnected(state, event)
         is ReleaseEvent.Adopted -> adopted(state, event, now)
+        is ReleaseEvent.Disowned -> disowned(state, event)
         is ReleaseEvent.Refused ->
             state.withActions(ReleaseAction.Deliver(event.caller, AnswerPart.Failed(event.code)))
         is ReleaseEvent.Credit -> credit(state, event)
@@ -91,6 +92,18 @@
         return deliver(state, answer)
     }
 
+    private fun disowned(state: ReleaseState, event: ReleaseEvent.Disowned): ReleaseStep {
+        val answer = state.answers[event.request]
+        if (answer == null || answer.end != null) return Step(state)
+        val fenced = AnswerPart.Failed(ResultCode.FENCED)
+        val deliveries = answer.cursors.keys.map { ReleaseAction.Deliver(it, fenced) }
+        val over = ReleaseAction.Over(event.request, answer.tokens.size)
+        return Step(
+            state.remove(event.request),
+            persistentListOf<ReleaseAction>(over).addAll(deliveries),
+        )
+    }
+
     private fun credit(state: ReleaseState, event: ReleaseEvent.Credit): ReleaseStep {
         val answer = state.answers[event.request] ?: return Step(state)
         val cursor = answer.cursors[event.caller] ?: return Step(state)
--- a/library/src/main/kotlin/org/bilberrycart/replication/HolderSide.kt
+++ b/library/src/main/kotlin/org/bilberrycart/replication/HolderSide.kt
@@ -92,10 +92,25 @@
         ),
     )
 
-    private fun refuse(state: ReplicationState, to: Member, key: ReplicaKey): ReplicationStep =
-        state.withActions(reply(to, ReplicationMessage.Fence(key)))
+    /** Tells the owner that [key] is over: given up by itself, or followed by another owner. */
+    private fun refuse(state: ReplicationState, to: Member, key: ReplicaKey): ReplicationStep {
+        val isGivenUp = state.marks[key.request]?.droppedKey == key
+        val answer = if (isGivenUp) {
+            ReplicationMessage.Dropped(
+                key,
+            )
+        } else {
+            ReplicationMessage.Fence(key)
+        }
+        return state.withActions(reply(to, answer))
+    }
 
-    /** Gives a replica up for its owner, unless a claim of it is being decided. */
+    /**
+     * Gives a replica up for its owner, unless a claim of it is being decided.
+     *
+     * A holder that does not remember the agreement may have given the generation away under it, so
+     * it says nothing and leaves the owner to the table.
+     */
     fun drop(
         state: ReplicationState,
         from: Member,
@@ -103,13 +118,12 @@
         now: Duration,
     ): ReplicationStep {
         val known = state.replicas[key.request]
+        val dropped = reply(from, ReplicationMessage.Dropped(key))
         return when {
-            known != null && known.key > key -> refuse(state, from, key)
+            known != null && known.key > key || state.isDropped(key) -> refuse(state, from, key)
             known?.key == key && (known.claim != null || known.isYielded) -> Step(state)
-            else -> Step(
-                void(state, key, now),
-                persistentListOf(reply(from, ReplicationMessage.Dropped(key))),
-            )
+            known?.key == key -> Step(void(state, key, now), persistentListOf(dropped))
+            else -> Step(state)
         }
     }
 
--- /dev/null
+++ b/library/src/main/kotlin/org/bilberrycart/replication/VerdictStore.kt
@@ -0,0 +1,63 @@
+package org.bilberrycart.replication
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.hours
+import kotlin.time.Duration.Companion.milliseconds
+import kotlinx.serialization.json.Json
+import org.bilberrycart.platform.Condition
+import org.bilberrycart.platform.PlatformEvent
+import org.bilberrycart.platform.RowKey
+import org.bilberrycart.platform.RowWrite
+import org.bilberrycart.platform.StoreContext
+import org.bilberrycart.platform.StoreResult
+import org.bilberrycart.platform.WriteGroup
+
+/**
+ * Joins the replication shards to the platform duty: the table keeps the first verdict for a key.
+ *
+ * @property timeout how long one decision may take.
+ * @property retention how long the platform keeps a verdict.
+ */
+public class VerdictStore(
+    private val timeout: Duration = 700.milliseconds,
+    private val retention: Duration = 1.hours,
+) {
+    private val json = Json
+
+    /** What a replication shard gets back with the result of its decision. */
+    public data class Context(val key: ReplicaKey, val verdict: Verdict) : StoreContext
+
+    /** Returns the call of the platform duty that carries out [action] at [now]. */
+    public fun toCall(action: ReplicationAction.Decide, now: Duration): PlatformEvent.Call {
+        val write = RowWrite(
+            key = rowKey(action.key),
+            condition = Condition.Absent,
+            value = json.encodeToString(Verdict.serializer(), action.verdict),
+            expiresAfter = retention,
+        )
+        val context = Context(action.key, action.verdict)
+        return PlatformEvent.Write(context, WriteGroup.of(write), deadline = now + timeout)
+    }
+
+    /** Returns the event that brings [result] back to the shard. */
+    public fun toEvent(context: Context, result: StoreResult): ReplicationEvent = when (result) {
+        is StoreResult.Applied -> ReplicationEvent.Decided(context.key, context.verdict)
+        is StoreResult.Conflict -> kept(context.key, result.row?.value)
+        is StoreResult.Found -> kept(context.key, result.row?.value)
+        is StoreResult.Listed,
+        is StoreResult.Unavailable,
+        is StoreResult.UnknownOutcome,
+        -> ReplicationEvent.DecisionFailed(context.key)
+    }
+
+    private fun kept(key: ReplicaKey, value: String?): ReplicationEvent {
+        val verdict = value?.let {
+            runCatching { json.decodeFromString(Verdict.serializer(), it) }.getOrNull()
+        }
+        return verdict?.let { ReplicationEvent.Decided(key, it) }
+            ?: ReplicationEvent.DecisionFailed(key)
+    }
+
+    private fun rowKey(key: ReplicaKey) =
+        RowKey("verdicts", "${key.request}.${key.epoch}.${key.term}")
+}
