--- a/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
@@ -14,6 +14,7 @@
     .subcommands(
         TryCommand(),
         ConfigCommand(),
+        TopCommand(),
         StandInCommand().subcommands(StandInEngineCommand()),
     )
     .main(args)
