--- a/library/src/main/kotlin/org/bilberrycart/settings/SettingsParser.kt
+++ b/library/src/main/kotlin/org/bilberrycart/settings/SettingsParser.kt
@@ -2,7 +2,6 @@
 
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
-import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.JsonElement
 import kotlinx.serialization.json.JsonObject
 
@@ -31,6 +30,9 @@
         file.text.length > FILE_LIMIT ->
             faulty(file, "at most $FILE_LIMIT characters", "${file.text.length}")
 
+        !NestingDepth.isWithin(file.text, DEPTH_LIMIT) ->
+            faulty(file, "nesting of at most $DEPTH_LIMIT levels", "more")
+
         else -> parseText(file)
     }
 
@@ -40,23 +42,9 @@
         faulty(file, "JSON with comments", e.message.orEmpty().lineSequence().first())
     }
 
-    private fun check(file: SettingsFile, root: JsonElement): Parsed = when {
-        // Described by kind only: the nesting of another root is not bounded yet.
-        root !is JsonObject -> faulty(file, "an object", kindOf(root))
-
-        !isWithinDepth(root, DEPTH_LIMIT) ->
-            faulty(file, "nesting of at most $DEPTH_LIMIT levels", "more")
-
-        else -> Parsed.Whole(file.name, root)
-    }
-
-    private fun kindOf(root: JsonElement): String =
-        if (root is JsonArray) "an array" else "a scalar"
-
-    private fun isWithinDepth(element: JsonElement, left: Int): Boolean = when (element) {
-        is JsonObject -> left > 0 && element.values.all { isWithinDepth(it, left - 1) }
-        is JsonArray -> left > 0 && element.all { isWithinDepth(it, left - 1) }
-        else -> true
+    private fun check(file: SettingsFile, root: JsonElement): Parsed = when (root) {
+        is JsonObject -> Parsed.Whole(file.name, root)
+        else -> faulty(file, "an object", describe(root))
     }
 
     private fun faulty(file: SettingsFile, expected: String, found: String): Parsed =
--- /dev/null
+++ b/library/src/test/kotlin/org/bilberrycart/settings/SettingsFuzzTest.kt
@@ -0,0 +1,93 @@
+package org.bilberrycart.settings
+
+import io.kotest.assertions.throwables.shouldThrow
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.datatest.withData
+import io.kotest.engine.names.WithDataTestName
+import io.kotest.matchers.collections.shouldNotBeEmpty
+import io.kotest.matchers.ints.shouldBeLessThan
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import io.kotest.property.PropTestConfig
+import io.kotest.property.checkAll
+import java.nio.file.Path
+import kotlin.io.path.listDirectoryEntries
+import kotlin.io.path.readBytes
+import kotlin.io.path.readText
+import kotlinx.coroutines.runBlocking
+import kotlinx.serialization.json.Json
+import org.bilberrycart.fuzz.FUZZ_SEED
+import org.bilberrycart.fuzz.mutations
+
+private const val ITERATIONS = 2_000
+private const val LONGEST_FAULT = 2_000
+private const val DEEP = 200_000
+private val folder = Path.of("../examples/phuong-nam").listDirectoryEntries("*.json").sorted()
+private val base = folder.map { SettingsFile(it.toString(), it.readText()) }
+
+private typealias Reader = (List<SettingsFile>) -> SettingsResult<Settings>
+
+private fun fuzz(read: Reader) = runBlocking {
+    checkAll(
+        PropTestConfig(seed = FUZZ_SEED, iterations = ITERATIONS),
+        mutations(folder.map { it.readBytes() }),
+    ) { bytes ->
+        when (val result = read(base + SettingsFile("fuzz", String(bytes)))) {
+            is SettingsResult.Valid -> result.settings shouldBe again(result.settings, read)
+            is SettingsResult.Invalid -> {
+                result.faults.shouldNotBeEmpty()
+                result.faults.maxOf { it.toString().length } shouldBeLessThan LONGEST_FAULT
+            }
+        }
+    }
+}
+
+/** Writes valid settings and reads them again. */
+private fun again(settings: Settings, read: Reader): Settings {
+    val text = EffectiveSettings.toJson(settings).toString()
+    return read(listOf(SettingsFile("again", text)))
+        .shouldBeInstanceOf<SettingsResult.Valid<Settings>>().settings
+}
+
+private data class PlantedFault(val name: String, val read: Reader) : WithDataTestName {
+    override fun dataTestName(): String = name
+}
+
+class SettingsFuzzTest :
+    FunSpec({
+        test("any bytes give settings that can be written again, or faults that can be read") {
+            fuzz(SettingsReader::read)
+        }
+
+        context("fuzzing finds a planted fault") {
+            withData(
+                PlantedFault("a reader that throws") { files ->
+                    Json.parseToJsonElement(files.last().text.ifBlank { "{}" })
+                    SettingsReader.read(files)
+                },
+                PlantedFault("a reader that names no fault") { files ->
+                    when (val result = SettingsReader.read(files)) {
+                        is SettingsResult.Valid -> result
+                        is SettingsResult.Invalid -> result.copy(faults = result.faults.clear())
+                    }
+                },
+                PlantedFault("a reader that forgets the last file") { files ->
+                    SettingsReader.read(files.dropLast(1))
+                },
+            ) { planted -> shouldThrow<AssertionError> { fuzz(planted.read) } }
+        }
+
+        context("nesting without end is a fault and no crash") {
+            withData("[", "{\"a\":", "/*", "[/*]*/", "[\"]\",", "[//]\n") { opening ->
+                SettingsReader.read(listOf(SettingsFile("deep", opening.repeat(DEEP))))
+                    .shouldBeInstanceOf<SettingsResult.Invalid>()
+            }
+        }
+
+        test("brackets in texts and comments do not nest") {
+            val text = "/*" + "[".repeat(DEEP) + "*/" + folder.first().readText() +
+                "// " + "{".repeat(DEEP)
+            val files = listOf(SettingsFile("first", text)) + base.drop(1)
+            SettingsReader.read(files).shouldBeInstanceOf<SettingsResult.Valid<Settings>>()
+        }
+    })
