Measure what metrics, settings and decoding cost by organisations

Cause: the capacity page needs slopes for the metrics and configuration roles at 7,900 organisations.

--- a/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
@@ -15,6 +15,7 @@
         TryCommand(),
         ConfigCommand(),
         TopCommand(),
+        CapacityCommand().subcommands(CapacityMetricsCommand(), CapacitySettingsCommand()),
         StandInCommand().subcommands(StandInEngineCommand()),
     )
     .main(args)
--- a/library/src/main/kotlin/org/bilberrycart/metrics/OperatorApi.kt
+++ b/library/src/main/kotlin/org/bilberrycart/metrics/OperatorApi.kt
@@ -10,6 +10,8 @@
 import org.http4k.core.Request
 import org.http4k.core.Response
 import org.http4k.core.Status
+import org.http4k.core.then
+import org.http4k.filter.ServerFilters
 import org.http4k.routing.bind
 import org.http4k.routing.path
 import org.http4k.routing.routes
@@ -31,7 +33,7 @@
     public fun handler(): HttpHandler = routes(
         "/health" bind GET to { text("alive\n") },
         "/ready" bind GET to { ready() },
-        "/metrics" bind GET to { text(scrape(), METRICS_TYPE) },
+        "/metrics" bind GET to ServerFilters.GZip().then { text(scrape(), METRICS_TYPE) },
         "/status" bind GET to { text(StatusText.of(status.report())) },
         "/status.json" bind GET to { text(Json.encodeToString(status.report()), JSON_TYPE) },
         "/drain" bind POST to { http -> change(http, OperatorChange.Drain) },
