--- a/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
@@ -17,5 +17,7 @@
         SoakCommand().subcommands(SoakPipelineCommand()),
         ConfigCommand(),
         StandInCommand().subcommands(StandInEngineCommand(), StandInServiceCommand()),
+        TopCommand(),
+        CapacityCommand().subcommands(CapacityMetricsCommand(), CapacitySettingsCommand()),
     )
     .main(args)
