--- /dev/null
+++ b/library/src/main/kotlin/org/bilberrycart/configuration/ConfigurationStore.kt
@@ -0,0 +1,80 @@
+package org.bilberrycart.configuration
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+import org.bilberrycart.platform.Condition
+import org.bilberrycart.platform.PlatformEvent
+import org.bilberrycart.platform.Row
+import org.bilberrycart.platform.RowKey
+import org.bilberrycart.platform.RowWrite
+import org.bilberrycart.platform.StoreResult
+import org.bilberrycart.platform.WriteGroup
+
+/** The rows in which the platform keeps the configuration, and their JSON form. */
+public object ConfigurationStore {
+    private const val TABLE = "configuration"
+    private const val VERSION_DIGITS = 12
+    private val READ_TIMEOUT = 2.seconds
+    private val json = Json { ignoreUnknownKeys = true }
+
+    /** The small row that names the newest version. */
+    public val headKey: RowKey = RowKey(TABLE, "head")
+
+    /** Returns the row of the document of [version]. */
+    public fun documentKey(version: Long): RowKey =
+        RowKey(TABLE, "document." + version.toString().padStart(VERSION_DIGITS, '0'))
+
+    /** Returns the version that [row] names; 0 if there is no row. */
+    public fun decodeHead(row: Row?): Long =
+        row?.let { json.decodeFromString<HeadMessage>(it.value).version } ?: 0
+
+    /** Returns the document in [row]. */
+    public fun decodeDocument(row: Row): ConfigurationDocument = json.decodeFromString(row.value)
+
+    /** Returns the writes that make [document] the newest one, if [head] is still the head row. */
+    public fun publication(document: ConfigurationDocument, head: Row?): WriteGroup {
+        val condition = head?.let { Condition.VersionIs(it.version) } ?: Condition.Absent
+        val text = json.encodeToString(HeadMessage(document.version))
+        val content = json.encodeToString(document)
+        return WriteGroup(
+            persistentListOf(
+                RowWrite(headKey, condition, text),
+                RowWrite(documentKey(document.version), Condition.Absent, content),
+            ),
+        )
+    }
+
+    /** Returns the call of the platform duty that carries out [action]; null for other actions. */
+    public fun toCall(action: ConfigurationAction, now: Duration): PlatformEvent.Call? =
+        when (action) {
+            ConfigurationAction.ReadHead ->
+                PlatformEvent.Read(ConfigurationContext.HEAD, headKey, now + READ_TIMEOUT)
+            is ConfigurationAction.ReadDocument -> PlatformEvent.Read(
+                ConfigurationContext.DOCUMENT,
+                documentKey(action.version),
+                now + READ_TIMEOUT,
+            )
+            is ConfigurationAction.Adopt,
+            is ConfigurationAction.AnnounceVersion,
+            is ConfigurationAction.AskPeer,
+            is ConfigurationAction.SendDocument,
+            is ConfigurationAction.ReadinessChanged,
+            -> null
+        }
+
+    /** Returns the event that brings [result] back to the configuration duty. */
+    public fun toEvent(context: ConfigurationContext, result: StoreResult): ConfigurationEvent {
+        val found = result as? StoreResult.Found ?: return ConfigurationEvent.StoreFailed
+        return when (context) {
+            ConfigurationContext.HEAD -> ConfigurationEvent.HeadRead(decodeHead(found.row))
+            ConfigurationContext.DOCUMENT ->
+                ConfigurationEvent.DocumentRead(found.row?.let(::decodeDocument))
+        }
+    }
+}
+
+@Serializable
+private data class HeadMessage(val version: Long)
--- /dev/null
+++ b/library/src/main/kotlin/org/bilberrycart/lease/LeaseStore.kt
@@ -0,0 +1,59 @@
+package org.bilberrycart.lease
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.serialization.json.Json
+import org.bilberrycart.platform.Condition
+import org.bilberrycart.platform.PlatformEvent
+import org.bilberrycart.platform.Row
+import org.bilberrycart.platform.RowKey
+import org.bilberrycart.platform.RowWrite
+import org.bilberrycart.platform.StoreContext
+import org.bilberrycart.platform.StoreResult
+import org.bilberrycart.platform.WriteGroup
+
+/** Which store call of the lease duty a result belongs to. */
+public data class LeaseContext(val operation: Long) : StoreContext
+
+/** The row in which the platform keeps the lease for control, and its JSON form. */
+public object LeaseStore {
+    private val CALL_TIMEOUT = 2.seconds
+    private val json = Json { ignoreUnknownKeys = true }
+
+    /** The row of the lease. */
+    public val key: RowKey = RowKey("leases", "control")
+
+    /** Returns the call of the platform duty that carries out [action]; null for other actions. */
+    public fun toCall(action: LeaseAction, now: Duration): PlatformEvent.Call? = when (action) {
+        is LeaseAction.Read ->
+            PlatformEvent.Read(LeaseContext(action.operation), key, now + CALL_TIMEOUT)
+        is LeaseAction.Write -> PlatformEvent.Write(
+            LeaseContext(action.operation),
+            WriteGroup.of(
+                RowWrite(
+                    key,
+                    action.expected?.let(Condition::VersionIs) ?: Condition.Absent,
+                    json.encodeToString(action.record),
+                ),
+            ),
+            now + CALL_TIMEOUT,
+        )
+        is LeaseAction.Held, is LeaseAction.Lapsed -> null
+    }
+
+    /** Returns the event that brings [result] back to the lease duty. */
+    public fun toEvent(context: LeaseContext, result: StoreResult): LeaseEvent {
+        val operation = context.operation
+        return when (result) {
+            is StoreResult.Applied -> LeaseEvent.Written(operation, result.version)
+            is StoreResult.Conflict -> LeaseEvent.Conflict(operation, result.row?.let(::decode))
+            is StoreResult.Found -> LeaseEvent.Read(operation, result.row?.let(::decode))
+            is StoreResult.Unavailable -> LeaseEvent.Failed(operation, mayHaveApplied = false)
+            is StoreResult.UnknownOutcome -> LeaseEvent.Failed(operation, mayHaveApplied = true)
+            is StoreResult.Listed -> LeaseEvent.Failed(operation, mayHaveApplied = false)
+        }
+    }
+
+    private fun decode(row: Row): StoredLease =
+        StoredLease(json.decodeFromString<LeaseRecord>(row.value), row.version)
+}
--- /dev/null
+++ b/library/src/main/kotlin/org/bilberrycart/orders/OrdersStore.kt
@@ -0,0 +1,57 @@
+package org.bilberrycart.orders
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.serialization.json.Json
+import org.bilberrycart.platform.Condition
+import org.bilberrycart.platform.PlatformEvent
+import org.bilberrycart.platform.Row
+import org.bilberrycart.platform.RowKey
+import org.bilberrycart.platform.RowWrite
+import org.bilberrycart.platform.StoreContext
+import org.bilberrycart.platform.StoreResult
+import org.bilberrycart.platform.WriteGroup
+
+/** The progress that a store call of the orders duty wrote; null for a read. */
+public data class OrdersContext(val written: OrdersProgress?) : StoreContext
+
+/** The row in which the platform keeps the progress of maintenance, and its JSON form. */
+public object OrdersStore {
+    private val CALL_TIMEOUT = 2.seconds
+    private val key = RowKey("orders", "progress")
+    private val json = Json { ignoreUnknownKeys = true }
+
+    /** Returns the call of the platform duty that carries out [action]; null for other actions. */
+    public fun toCall(action: OrdersAction, now: Duration): PlatformEvent.Call? = when (action) {
+        OrdersAction.ReadProgress ->
+            PlatformEvent.Read(OrdersContext(written = null), key, now + CALL_TIMEOUT)
+        is OrdersAction.WriteProgress -> write(action, now)
+        is OrdersAction.ReadState, is OrdersAction.Send, is OrdersAction.Superseded -> null
+    }
+
+    /** Returns the event that brings [result] back to the orders duty. */
+    public fun toEvent(context: OrdersContext, result: StoreResult): OrdersEvent {
+        val written = context.written
+        return when {
+            result is StoreResult.Applied && written != null ->
+                OrdersEvent.ProgressRead(StoredProgress(written, result.version))
+            result is StoreResult.Found -> OrdersEvent.ProgressRead(decode(result.row))
+            else -> OrdersEvent.ProgressFailed
+        }
+    }
+
+    private fun write(action: OrdersAction.WriteProgress, now: Duration): PlatformEvent.Call {
+        val condition = when (action.expected) {
+            0L -> Condition.Absent
+            else -> Condition.VersionIs(action.expected)
+        }
+        val row = RowWrite(key, condition, json.encodeToString(action.progress))
+        val context = OrdersContext(action.progress)
+        return PlatformEvent.Write(context, WriteGroup.of(row), now + CALL_TIMEOUT)
+    }
+
+    private fun decode(row: Row?): StoredProgress = when (row) {
+        null -> StoredProgress(OrdersProgress(), version = 0)
+        else -> StoredProgress(json.decodeFromString(row.value), row.version)
+    }
+}
--- /dev/null
+++ b/library/src/test/kotlin/org/bilberrycart/configuration/ConfigurationFilterTest.kt
@@ -0,0 +1,153 @@
+package org.bilberrycart.configuration
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.core.spec.style.scopes.FunSpecContainerScope
+import io.kotest.datatest.withData
+import io.kotest.engine.names.WithDataTestName
+import io.kotest.matchers.shouldBe
+import kotlin.time.Duration.Companion.seconds
+import org.bilberrycart.configuration.ConfigurationEvent.DocumentRead
+import org.bilberrycart.configuration.ConfigurationEvent.HeadRead
+import org.bilberrycart.configuration.ConfigurationEvent.PeerDocument
+import org.bilberrycart.configuration.ConfigurationEvent.PeerHasVersion
+import org.bilberrycart.configuration.ConfigurationEvent.StoreFailed
+import org.bilberrycart.configuration.ConfigurationEvent.Tick
+import org.bilberrycart.model.VmId
+
+private data class At(val seconds: Int, val event: ConfigurationEvent)
+
+private data class ScriptCase(val name: String, val script: List<At>, val actions: List<String>) :
+    WithDataTestName {
+    override fun dataTestName(): String = name
+}
+
+private fun case(name: String, vararg script: At, then: List<String>) =
+    ScriptCase(name, script.toList(), then)
+
+private val peer = VmId("p")
+
+private fun document(version: Long) =
+    ConfigurationDocument(version, "p$version", "author", "today", "{}")
+
+private fun has(at: Int, version: Long) = At(at, PeerHasVersion(peer, version))
+
+private val started =
+    arrayOf(At(0, Tick), At(0, HeadRead(3)), At(0, DocumentRead(document(3))))
+
+private val startedActions =
+    listOf("read head", "read 3", "adopt 3", "announce 3", "ready true")
+
+private fun describe(action: ConfigurationAction): String = when (action) {
+    is ConfigurationAction.Adopt -> "adopt ${action.document.version}"
+    is ConfigurationAction.AnnounceVersion -> "announce ${action.version}"
+    is ConfigurationAction.AskPeer -> "ask ${action.peer}"
+    is ConfigurationAction.ReadDocument -> "read ${action.version}"
+    ConfigurationAction.ReadHead -> "read head"
+    is ConfigurationAction.ReadinessChanged -> "ready ${action.isReady}"
+    is ConfigurationAction.SendDocument -> "send ${action.document.version}"
+}
+
+private fun run(script: List<At>): List<String> {
+    val filter = ConfigurationFilter()
+    return script.runningFold(ConfigurationState() to emptyList<String>()) { (state, _), at ->
+        val step = filter.step(state, at.event, at.seconds.seconds)
+        step.state to step.actions.map(::describe)
+    }.flatMap { it.second }
+}
+
+class ConfigurationFilterTest :
+    FunSpec({
+        context("a node adopts only higher versions") {
+            withData(
+                case("a new node is ready once it has one", *started, then = startedActions),
+                case(
+                    "the store answers from the past",
+                    *started,
+                    At(12, Tick),
+                    At(12, HeadRead(2)),
+                    then = startedActions + "read head",
+                ),
+                case(
+                    "a document of the past",
+                    *started,
+                    At(1, DocumentRead(document(2))),
+                    At(1, PeerDocument(document(1))),
+                    then = startedActions,
+                ),
+                case(
+                    "a peer has a higher version: read at once",
+                    *started,
+                    has(1, version = 4),
+                    At(1, HeadRead(4)),
+                    At(1, DocumentRead(document(4))),
+                    then = startedActions + listOf("read head", "read 4", "adopt 4", "announce 4"),
+                ),
+                case(
+                    "a peer is behind: it is told",
+                    *started,
+                    has(1, version = 2),
+                    then = startedActions + "announce 3",
+                ),
+                case(
+                    "the store is down: the peer gives the document",
+                    *started,
+                    has(1, version = 4),
+                    At(2, StoreFailed),
+                    At(2, PeerDocument(document(4))),
+                    then = startedActions + listOf("read head", "ask p", "adopt 4", "announce 4"),
+                ),
+                case(
+                    "the store answers from the past after an announcement: tried again",
+                    *started,
+                    has(1, version = 4),
+                    At(1, HeadRead(3)),
+                    At(2, Tick),
+                    At(2, HeadRead(4)),
+                    then = startedActions + listOf("read head", "read head", "read 4"),
+                ),
+            )
+        }
+
+        context("a node without contact takes no new work") {
+            withData(
+                case(
+                    "alone for the set time, then back",
+                    *started,
+                    At(12, Tick),
+                    At(13, StoreFailed),
+                    At(14, Tick),
+                    At(20, HeadRead(3)),
+                    then = startedActions +
+                        listOf("read head", "read head", "ready false", "ready true"),
+                ),
+                case(
+                    "peers are enough when nobody reaches the store",
+                    *started,
+                    At(12, Tick),
+                    At(13, StoreFailed),
+                    has(13, version = 3),
+                    At(14, Tick),
+                    then = startedActions + listOf("read head", "read head"),
+                ),
+                case(
+                    "a known higher version cannot be had for the set time",
+                    *started,
+                    has(1, version = 4),
+                    At(2, StoreFailed),
+                    has(8, version = 4),
+                    has(15, version = 4),
+                    then = startedActions + listOf("read head", "ask p", "ready false"),
+                ),
+                case(
+                    "never had one",
+                    At(0, Tick),
+                    At(1, HeadRead(0)),
+                    At(1, Tick),
+                    then = listOf("read head"),
+                ),
+            )
+        }
+    })
+
+private suspend fun FunSpecContainerScope.withData(vararg cases: ScriptCase) =
+    withData(cases.toList()) { case -> run(case.script) shouldBe case.actions }
