--- a/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
@@ -6,17 +6,16 @@
 
 /** The command line of bilberrycart; each subcommand is a class of its own. */
 class Bilberrycart : CliktCommand(name = "bilberrycart") {
-    init {
-        subcommands(ConfigCommand())
-    }
-
     override fun run() = Unit
 }
 
 /** Runs the command line. */
 fun main(args: Array<String>) = Bilberrycart()
     .subcommands(
+        ServeCommand(),
         TryCommand(),
-        StandInCommand().subcommands(StandInEngineCommand()),
+        SoakCommand().subcommands(SoakPipelineCommand()),
+        ConfigCommand(),
+        StandInCommand().subcommands(StandInEngineCommand(), StandInServiceCommand()),
     )
     .main(args)
