Add the operators' commands, the control duties and their measurements

Change: ControlDuties joins platform, configuration, lease and orders duties for one node; WaitingTable and the commands config apply/history, call show/settle, soak actions, standin platform, measure commit/outage/configuration and capacity platform; nodes report their version to the table. The breaker opens after 3 failures (5 before), so fewer inserts are in flight when the table hangs.

--- /dev/null
+++ b/bench/src/main/kotlin/org/bilberrycart/bench/control/CommitMeasure.kt
@@ -0,0 +1,131 @@
+package org.bilberrycart.bench.control
+
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.serialization.Serializable
+import org.bilberrycart.pipeline.Clock
+import org.bilberrycart.pipeline.Duty
+import org.bilberrycart.pipeline.Ring
+import org.bilberrycart.platform.Condition
+import org.bilberrycart.platform.HttpTableClient
+import org.bilberrycart.platform.PlatformEvent
+import org.bilberrycart.platform.PlatformFilter
+import org.bilberrycart.platform.PlatformLimits
+import org.bilberrycart.platform.PlatformSink
+import org.bilberrycart.platform.PlatformState
+import org.bilberrycart.platform.RowKey
+import org.bilberrycart.platform.RowWrite
+import org.bilberrycart.platform.StoreContext
+import org.bilberrycart.platform.StoreResult
+import org.bilberrycart.platform.WriteGroup
+import org.bilberrycart.standins.platform.PlatformStandin
+import org.bilberrycart.timer.Ticker
+
+/**
+ * Inserts keys through the platform duty into the stand-in's table at its write limit.
+ *
+ * @property keysPerSecond keys offered each second.
+ * @property groupsPerTransaction 1 for one write a call.
+ * @property length how long keys are offered, after a warm-up that does not count.
+ */
+class CommitMeasure(
+    private val keysPerSecond: Double,
+    private val groupsPerTransaction: Int,
+    private val length: Duration = 10.seconds,
+) {
+    private data class Insert(val number: Int, val sentAt: Duration) : StoreContext
+
+    private val clock = Clock()
+    private val ring = Ring<PlatformEvent>("platform", RING_CAPACITY)
+    private val latencies = Latencies()
+    private val refused = AtomicLong()
+    private val lastAt = AtomicLong()
+    private val warmUps = (WARM_UP / 1.seconds * keysPerSecond).toInt()
+
+    /** Runs the measurement. */
+    fun run(): CommitFigures = PlatformStandin().start().use { standin ->
+        HttpTableClient("http://127.0.0.1:${standin.port}").use { table -> measure(table) }
+    }
+
+    private fun measure(table: HttpTableClient): CommitFigures {
+        val count = ((WARM_UP + length) / 1.seconds * keysPerSecond).toInt()
+        val left = CountDownLatch(count)
+        val duty = Duty(
+            name = "platform",
+            ring = ring,
+            initial = PlatformState(limits()),
+            filter = PlatformFilter(),
+            clock = clock,
+            sink = PlatformSink(table, ring, onResult = { context, result ->
+                finished(context as Insert, result)
+                left.countDown()
+            }),
+        ).start()
+        val ticker = Ticker(TICK, listOf(Ticker.Target(ring, PlatformEvent.Tick))).start()
+        val start = clock.now()
+        Pacer(keysPerSecond, WARM_UP + length).run(clock) { ring.put(insert(it)) }
+        left.await(PATIENCE.inWholeSeconds, TimeUnit.SECONDS)
+        ticker.close()
+        duty.close()
+        return figures(start + WARM_UP)
+    }
+
+    private fun limits() = PlatformLimits.shareOf(nodes = 1)
+        .copy(groupsPerTransaction = groupsPerTransaction)
+
+    private fun insert(number: Int): PlatformEvent.Write {
+        val now = clock.now()
+        val row = RowWrite(RowKey("calls", "key-$number"), Condition.Absent, VALUE)
+        return PlatformEvent.Write(Insert(number, now), WriteGroup.of(row), now + DEADLINE)
+    }
+
+    private fun finished(insert: Insert, result: StoreResult) {
+        if (insert.number < warmUps) return
+        when (result) {
+            is StoreResult.Applied -> {
+                latencies.add(clock.now() - insert.sentAt)
+                lastAt.set(clock.now().inWholeMilliseconds)
+            }
+            else -> refused.incrementAndGet()
+        }
+    }
+
+    private fun figures(start: Duration): CommitFigures {
+        val summary = latencies.summary()
+        val took = lastAt.get().milliseconds - start
+        return CommitFigures(
+            groupsPerTransaction = groupsPerTransaction,
+            offeredPerSecond = keysPerSecond,
+            offered = (length / 1.seconds * keysPerSecond).toInt(),
+            inserted = summary.count,
+            refused = refused.get(),
+            insertedPerSecond = summary.count / (took / 1.seconds),
+            latency = summary,
+        )
+    }
+
+    private companion object {
+        const val RING_CAPACITY = 65_536
+        val WARM_UP = 3.seconds
+        val DEADLINE = 3.seconds
+        val PATIENCE = 15.seconds
+        val TICK = 10.milliseconds
+        val VALUE = "x".repeat(n = 300)
+    }
+}
+
+/** What one run of [CommitMeasure] brought. */
+@Serializable
+data class CommitFigures(
+    val groupsPerTransaction: Int,
+    val offeredPerSecond: Double,
+    val offered: Int,
+    val inserted: Long,
+    val refused: Long,
+    val insertedPerSecond: Double,
+    val latency: LatencySummary,
+)
--- /dev/null
+++ b/bench/src/main/kotlin/org/bilberrycart/bench/control/Latencies.kt
@@ -0,0 +1,40 @@
+package org.bilberrycart.bench.control
+
+import kotlin.time.Duration
+import kotlinx.serialization.Serializable
+import org.HdrHistogram.ConcurrentHistogram
+
+/** Durations of many calls, from many threads. */
+class Latencies {
+    private val histogram = ConcurrentHistogram(HIGHEST_MICROS, DIGITS)
+
+    /** Counts a call that took [length]. */
+    fun add(length: Duration) =
+        histogram.recordValue(length.inWholeMicroseconds.coerceIn(0, HIGHEST_MICROS))
+
+    /** Returns the percentiles so far. */
+    fun summary() = LatencySummary(
+        count = histogram.totalCount,
+        p50Millis = millisAt(percentile = 50.0),
+        p99Millis = millisAt(percentile = 99.0),
+        maxMillis = histogram.maxValue / MICROS_PER_MILLI,
+    )
+
+    private fun millisAt(percentile: Double) =
+        histogram.getValueAtPercentile(percentile) / MICROS_PER_MILLI
+
+    private companion object {
+        const val HIGHEST_MICROS = 120_000_000L
+        const val DIGITS = 3
+        const val MICROS_PER_MILLI = 1_000.0
+    }
+}
+
+/** Percentiles in milliseconds. */
+@Serializable
+data class LatencySummary(
+    val count: Long,
+    val p50Millis: Double,
+    val p99Millis: Double,
+    val maxMillis: Double,
+)
--- /dev/null
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/CallShowCommand.kt
@@ -0,0 +1,29 @@
+package org.bilberrycart.daemon
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.ProgramResult
+import com.github.ajalt.clikt.parameters.groups.provideDelegate
+import kotlinx.serialization.json.Json
+import org.bilberrycart.idempotency.CallSettler
+import org.bilberrycart.idempotency.ReadResult
+import org.bilberrycart.platform.HttpTableClient
+
+/** Shows the record of a call. */
+class CallShowCommand : CliktCommand(name = "show") {
+    private val call by RecordKeyOptions()
+
+    override fun help(context: Context): String = "Shows what the platform's table has of a call."
+
+    override fun run() = HttpTableClient(call.platform).use { table ->
+        when (val result = CallSettler(table).read(call.recordKey)) {
+            is ReadResult.Found -> echo(
+                result.stored?.record?.let { Json.encodeToString(it) } ?: "no record",
+            )
+            ReadResult.Failed -> {
+                echo("the table does not answer", err = true)
+                throw ProgramResult(1)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/CapacityPlatformCommand.kt
@@ -0,0 +1,28 @@
+package org.bilberrycart.daemon
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.parameters.options.flag
+import com.github.ajalt.clikt.parameters.options.option
+import kotlinx.serialization.json.Json
+import org.bilberrycart.bench.control.CapacityFigures
+import org.bilberrycart.bench.control.CapacityMeasure
+
+/** Measures the slopes of call records, configuration reads and the lease. */
+class CapacityPlatformCommand : CliktCommand(name = "platform") {
+    private val json by option(help = "print one JSON object only").flag()
+
+    override fun help(context: Context): String =
+        "Call records in flight, configuration reads by fleet size, and the lease."
+
+    override fun run() {
+        val figures = CapacityMeasure().run()
+        echo(if (json) Json.encodeToString(figures) else text(figures))
+    }
+
+    private fun text(figures: CapacityFigures): String = buildString {
+        figures.records.forEach { appendLine(it) }
+        figures.configuration.forEach { appendLine(it) }
+        append(figures.lease)
+    }
+}
--- a/daemon/src/main/kotlin/org/bilberrycart/daemon/ConfigCommand.kt
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/ConfigCommand.kt
@@ -7,10 +7,17 @@
 /** The commands around settings folders. */
 class ConfigCommand : CliktCommand(name = "config") {
     init {
-        subcommands(ConfigCheckCommand(), ConfigShowCommand(), ConfigDiffCommand())
+        subcommands(
+            ConfigCheckCommand(),
+            ConfigShowCommand(),
+            ConfigDiffCommand(),
+            ConfigApplyCommand(),
+            ConfigHistoryCommand(),
+        )
     }
 
-    override fun help(context: Context): String = "Checks, shows and compares settings folders."
+    override fun help(context: Context): String =
+        "Checks, shows, compares and applies settings folders."
 
     override fun run() = Unit
 }
--- a/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
@@ -14,8 +14,19 @@
     .subcommands(
         ServeCommand(),
         TryCommand(),
-        SoakCommand().subcommands(SoakPipelineCommand()),
+        SoakCommand().subcommands(SoakPipelineCommand(), SoakActionsCommand()),
         ConfigCommand(),
-        StandInCommand().subcommands(StandInEngineCommand(), StandInServiceCommand()),
+        CallCommand().subcommands(CallShowCommand(), CallSettleCommand()),
+        MeasureCommand().subcommands(
+            MeasureCommitCommand(),
+            MeasureOutageCommand(),
+            MeasureConfigurationCommand(),
+        ),
+        CapacityCommand().subcommands(CapacityPlatformCommand()),
+        StandInCommand().subcommands(
+            StandInEngineCommand(),
+            StandInServiceCommand(),
+            StandInPlatformCommand(),
+        ),
     )
     .main(args)
--- /dev/null
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/MeasureConfigurationCommand.kt
@@ -0,0 +1,25 @@
+package org.bilberrycart.daemon
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.types.int
+import kotlinx.serialization.json.Json
+import org.bilberrycart.bench.control.ConfigurationMeasure
+
+/** Measures the time from an accepted change to its being in force everywhere. */
+class MeasureConfigurationCommand : CliktCommand(name = "configuration") {
+    private val nodes by option(help = "sets of control duties").int().default(DEFAULT_NODES)
+    private val changes by option(help = "changes applied").int().default(DEFAULT_CHANGES)
+
+    override fun help(context: Context): String =
+        "Applies changes to control duties in one process; prints one JSON object."
+
+    override fun run() = echo(Json.encodeToString(ConfigurationMeasure(nodes, changes).run()))
+
+    private companion object {
+        const val DEFAULT_NODES = 4
+        const val DEFAULT_CHANGES = 100
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/RecordKeyOptions.kt
@@ -0,0 +1,23 @@
+package org.bilberrycart.daemon
+
+import com.github.ajalt.clikt.parameters.groups.OptionGroup
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.options.required
+import org.bilberrycart.idempotency.RecordKey
+import org.bilberrycart.model.IdempotencyKey
+import org.bilberrycart.model.OrganisationId
+import org.bilberrycart.model.ServiceId
+
+/** The options that name one call and the platform that keeps its record. */
+class RecordKeyOptions : OptionGroup() {
+    /** Where the platform is. */
+    val platform by option("--platform", metavar = "URL", help = "such as http://10.0.0.5:8080")
+        .required()
+    private val organisation by option("--organisation", help = "who called").required()
+    private val service by option("--service", help = "what was called").required()
+    private val key by option("--key", help = "the Idempotency-Key of the call").required()
+
+    /** The key of the record. */
+    val recordKey: RecordKey
+        get() = RecordKey(OrganisationId(organisation), ServiceId(service), IdempotencyKey(key))
+}
--- a/library/src/main/kotlin/org/bilberrycart/configuration/ConfigurationAction.kt
+++ b/library/src/main/kotlin/org/bilberrycart/configuration/ConfigurationAction.kt
@@ -16,6 +16,9 @@
     /** Tell the other nodes that [version] is in force here. */
     public data class AnnounceVersion(val version: Long) : ConfigurationAction()
 
+    /** Store, for operators, that [version] is in force here. */
+    public data class Report(val version: Long) : ConfigurationAction()
+
     /** Ask [peer] for the document that it has in force. */
     public data class AskPeer(val peer: VmId) : ConfigurationAction()
 
--- a/library/src/main/kotlin/org/bilberrycart/configuration/ConfigurationContext.kt
+++ b/library/src/main/kotlin/org/bilberrycart/configuration/ConfigurationContext.kt
@@ -2,11 +2,14 @@
 
 import org.bilberrycart.platform.StoreContext
 
-/** Which read of the configuration duty a result belongs to. */
-public enum class ConfigurationContext : StoreContext {
-    /** The number of the newest version. */
-    HEAD,
+/** Which store call of the configuration duty a result belongs to. */
+public sealed class ConfigurationContext : StoreContext {
+    /** The read of the number of the newest version. */
+    public data object Head : ConfigurationContext()
 
-    /** A document. */
-    DOCUMENT,
+    /** The read of a document. */
+    public data object Document : ConfigurationContext()
+
+    /** The report that [version] is in force. */
+    public data class Report(val version: Long) : ConfigurationContext()
 }
--- a/library/src/main/kotlin/org/bilberrycart/configuration/ConfigurationEvent.kt
+++ b/library/src/main/kotlin/org/bilberrycart/configuration/ConfigurationEvent.kt
@@ -16,12 +16,21 @@
     /** [peer] has [version] in force. */
     public data class PeerHasVersion(val peer: VmId, val version: Long) : ConfigurationEvent()
 
+    /** An operator's command says that [version] is accepted. */
+    public data class VersionAccepted(val version: Long) : ConfigurationEvent()
+
     /** A peer sent the [document] that it has in force. */
     public data class PeerDocument(val document: ConfigurationDocument) : ConfigurationEvent()
 
     /** [peer] wants the document in force. */
     public data class PeerAsked(val peer: VmId) : ConfigurationEvent()
 
+    /** The fleet has [nodes] live nodes. */
+    public data class FleetChanged(val nodes: Int) : ConfigurationEvent()
+
+    /** The report that [version] is in force here was stored, or not if not [isDone]. */
+    public data class Reported(val version: Long, val isDone: Boolean) : ConfigurationEvent()
+
     /** Time has passed. */
     public data object Tick : ConfigurationEvent()
 }
--- a/library/src/main/kotlin/org/bilberrycart/configuration/ConfigurationFilter.kt
+++ b/library/src/main/kotlin/org/bilberrycart/configuration/ConfigurationFilter.kt
@@ -29,9 +29,13 @@
         ConfigurationEvent.StoreFailed -> state.storeFailed(now)
         is ConfigurationEvent.PeerHasVersion ->
             state.contact(now).peerHas(event.peer, event.version, now)
+        is ConfigurationEvent.VersionAccepted -> state.follow(event.version, from = null, now)
         is ConfigurationEvent.PeerDocument -> state.contact(now).adopt(event.document)
         is ConfigurationEvent.PeerAsked -> state.contact(now).answer(event.peer)
-        ConfigurationEvent.Tick -> state.readIfDue(now)
+        is ConfigurationEvent.FleetChanged ->
+            Step(state.copy(timing = ConfigurationTiming.ofFleet(event.nodes)))
+        is ConfigurationEvent.Reported -> Step(state.reported(event, now))
+        ConfigurationEvent.Tick -> state.readIfDue(now).then { it.reportIfDue(now) }
     }.then { it.checkReadiness(now) }
 
     private fun ConfigurationState.contact(now: Duration) = copy(contactAt = now)
@@ -81,12 +85,22 @@
         peerVersion: Long,
         now: Duration,
     ): ConfigurationStep = when {
-        peerVersion > heard -> hear(peerVersion, peer, now).copy(nextReadAt = now).readIfDue(now)
+        peerVersion > heard -> follow(peerVersion, peer, now)
         peerVersion < version -> withActions(ConfigurationAction.AnnounceVersion(version))
         peerVersion == heard -> Step(copy(heardFrom = peer))
         else -> Step(this)
     }
 
+    /** Reads the store at once because [head] is newer than all that was heard before. */
+    private fun ConfigurationState.follow(
+        head: Long,
+        from: VmId?,
+        now: Duration,
+    ): ConfigurationStep = when {
+        head <= heard -> Step(this)
+        else -> hear(head, from, now).copy(nextReadAt = now).readIfDue(now)
+    }
+
     private fun ConfigurationState.hear(head: Long, from: VmId?, now: Duration) = when {
         head <= heard -> this
         else -> copy(heard = head, heardFrom = from, behindSince = behindSince ?: now)
@@ -102,6 +116,22 @@
         else -> copy(isReading = true, reads = reads + 1).withActions(ConfigurationAction.ReadHead)
     }
 
+    private fun ConfigurationState.reportIfDue(now: Duration): ConfigurationStep = when {
+        inForce == null || now < nextReportAt && reported == version -> Step(this)
+        now < nextReportAt && reported == UNSTORED -> Step(this)
+        else -> copy(reported = version, nextReportAt = now + timing.report)
+            .withActions(ConfigurationAction.Report(version))
+    }
+
+    /** A report that was not stored is made again after a short wait. */
+    private fun ConfigurationState.reported(
+        event: ConfigurationEvent.Reported,
+        now: Duration,
+    ): ConfigurationState = when {
+        event.isDone || event.version != reported -> this
+        else -> copy(reported = UNSTORED, nextReportAt = now + timing.chase * (1 + spread()))
+    }
+
     private fun ConfigurationState.readDone(
         now: Duration,
         longest: Duration = if (heard > version || inForce == null) timing.chase else timing.poll,
@@ -118,4 +148,8 @@
                 .withActions(ConfigurationAction.ReadinessChanged(next))
         }
     }
+
+    private companion object {
+        const val UNSTORED = -1L
+    }
 }
--- a/library/src/main/kotlin/org/bilberrycart/configuration/ConfigurationPublisher.kt
+++ b/library/src/main/kotlin/org/bilberrycart/configuration/ConfigurationPublisher.kt
@@ -1,35 +1,40 @@
 package org.bilberrycart.configuration
 
-import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
-import org.bilberrycart.platform.RowKey
-import org.bilberrycart.platform.StoreReply
+import org.bilberrycart.model.VmId
 import org.bilberrycart.platform.StoreResult
 import org.bilberrycart.platform.TableClient
+import org.bilberrycart.platform.WaitingTable
 
 /** Applies and reads configurations for an operator, who waits; not for use in a node's duties. */
 public class ConfigurationPublisher(
-    private val table: TableClient,
+    table: TableClient,
     private val pause: Duration = 300.milliseconds,
 ) {
     private val filter = ApplyFilter()
+    private val rows = WaitingTable(table)
 
     /** Applies [document] if [base] is the newest version. */
     public fun apply(document: ConfigurationDocument, base: Long): ApplyOutcome =
         run(ApplyState(base, document), ApplyEvent.Begin)
 
     /** Returns the newest version, 0 if there is none; null if the store does not answer. */
-    public fun head(): Long? = (read(ConfigurationStore.headKey) as? StoreResult.Found)
+    public fun head(): Long? = (rows.read(ConfigurationStore.headKey) as? StoreResult.Found)
         ?.let { ConfigurationStore.decodeHead(it.row) }
 
     /** Returns the document of [version]; null if there is none or the store does not answer. */
     public fun document(version: Long): ConfigurationDocument? =
-        (read(ConfigurationStore.documentKey(version)) as? StoreResult.Found)
+        (rows.read(ConfigurationStore.documentKey(version)) as? StoreResult.Found)
             ?.row?.let(ConfigurationStore::decodeDocument)
 
+    /** Returns the version that each node has in force; null if the store does not answer. */
+    public fun reports(): Map<VmId, Long>? = ConfigurationStore.reports.let { key ->
+        (rows.scan(key.table, key.name) as? StoreResult.Listed)
+            ?.let { ConfigurationStore.decodeReports(it.rows) }
+    }
+
     private tailrec fun run(state: ApplyState, event: ApplyEvent): ApplyOutcome {
         val step = filter.step(state, event, Duration.ZERO)
         val action = step.actions.single()
@@ -40,39 +45,10 @@
     }
 
     private fun carryOut(action: ApplyAction): StoreResult = when (action) {
-        ApplyAction.ReadHead -> read(ConfigurationStore.headKey)
-        is ApplyAction.ReadBack -> read(ConfigurationStore.documentKey(action.version))
-        is ApplyAction.Publish -> publish(action)
+        ApplyAction.ReadHead -> rows.read(ConfigurationStore.headKey)
+        is ApplyAction.ReadBack -> rows.read(ConfigurationStore.documentKey(action.version))
+        is ApplyAction.Publish ->
+            rows.write(ConfigurationStore.publication(action.document, action.head))
         is ApplyAction.Finish -> error("nothing to carry out: $action")
     }
-
-    private fun publish(action: ApplyAction.Publish): StoreResult {
-        val group = ConfigurationStore.publication(action.document, action.head)
-        val reply = await { table.transact(listOf(group), TIMEOUT, it) }
-        return when (reply) {
-            is StoreReply.Groups -> reply.results.single()
-            is StoreReply.Read -> reply.result
-            is StoreReply.Failed -> when {
-                reply.mayHaveApplied -> StoreResult.UnknownOutcome(reply.failure)
-                else -> StoreResult.Unavailable(reply.failure)
-            }
-        }
-    }
-
-    private fun read(key: RowKey): StoreResult =
-        when (val reply = await { table.read(key, TIMEOUT, it) }) {
-            is StoreReply.Groups -> reply.results.single()
-            is StoreReply.Read -> reply.result
-            is StoreReply.Failed -> StoreResult.Unavailable(reply.failure)
-        }
-
-    private fun await(send: ((StoreReply) -> Unit) -> Unit): StoreReply {
-        val reply = CompletableFuture<StoreReply>()
-        send { reply.complete(it) }
-        return reply.get()
-    }
-
-    private companion object {
-        val TIMEOUT = 2.seconds
-    }
 }
--- a/library/src/main/kotlin/org/bilberrycart/configuration/ConfigurationState.kt
+++ b/library/src/main/kotlin/org/bilberrycart/configuration/ConfigurationState.kt
@@ -2,6 +2,8 @@
 
 import kotlin.random.Random
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 import org.bilberrycart.model.VmId
 
@@ -13,6 +15,8 @@
  * @property heardFrom the peer that named it.
  * @property contactAt when the store or a peer was last heard.
  * @property behindSince since when a higher version than the one in force is known.
+ * @property reported the version that operators can see to be in force here.
+ * @property nextReportAt when the report is written again.
  * @property reads reads of the store so far.
  */
 public data class ConfigurationState(
@@ -25,6 +29,8 @@
     val contactAt: Duration = Duration.ZERO,
     val behindSince: Duration? = null,
     val isReady: Boolean = false,
+    val reported: Long = 0,
+    val nextReportAt: Duration = Duration.ZERO,
     val reads: Long = 0,
     val seed: Long = 0,
 ) {
@@ -42,9 +48,25 @@
  * @property poll the longest time between two reads; half of it is the shortest.
  * @property chase the longest time between two tries for a version that is known to exist.
  * @property isolation after this long without store and peers the node takes no new work.
+ * @property report the time between two reports of the same version.
  */
 public data class ConfigurationTiming(
     val poll: Duration = 12.seconds,
     val chase: Duration = 1.seconds,
     val isolation: Duration = 14.seconds,
-)
+    val report: Duration = 20.minutes,
+) {
+    public companion object {
+        private val MIN_POLL = 1.seconds
+        private val MAX_POLL = 12.seconds
+        private val POLL_PER_NODE = 500.milliseconds
+
+        /**
+         * Returns the timing for a fleet of [nodes]: a small fleet polls more often, so that all
+         * its nodes together read about twice a second, and no node polls more seldom than
+         * [MAX_POLL].
+         */
+        public fun ofFleet(nodes: Int): ConfigurationTiming =
+            ConfigurationTiming(poll = (POLL_PER_NODE * nodes).coerceIn(MIN_POLL, MAX_POLL))
+    }
+}
--- a/library/src/main/kotlin/org/bilberrycart/configuration/ConfigurationStore.kt
+++ b/library/src/main/kotlin/org/bilberrycart/configuration/ConfigurationStore.kt
@@ -1,10 +1,12 @@
 package org.bilberrycart.configuration
 
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.hours
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
+import org.bilberrycart.model.VmId
 import org.bilberrycart.platform.Condition
 import org.bilberrycart.platform.PlatformEvent
 import org.bilberrycart.platform.Row
@@ -17,7 +19,9 @@
 public object ConfigurationStore {
     private const val TABLE = "configuration"
     private const val VERSION_DIGITS = 12
-    private val READ_TIMEOUT = 2.seconds
+    private const val REPORT_PREFIX = "node."
+    private val CALL_TIMEOUT = 2.seconds
+    private val REPORT_RETENTION = 1.hours
     private val json = Json { ignoreUnknownKeys = true }
 
     /** The small row that names the newest version. */
@@ -48,15 +52,16 @@
     }
 
     /** Returns the call of the platform duty that carries out [action]; null for other actions. */
-    public fun toCall(action: ConfigurationAction, now: Duration): PlatformEvent.Call? =
+    public fun toCall(action: ConfigurationAction, self: VmId, now: Duration): PlatformEvent.Call? =
         when (action) {
             ConfigurationAction.ReadHead ->
-                PlatformEvent.Read(ConfigurationContext.HEAD, headKey, now + READ_TIMEOUT)
+                PlatformEvent.Read(ConfigurationContext.Head, headKey, now + CALL_TIMEOUT)
             is ConfigurationAction.ReadDocument -> PlatformEvent.Read(
-                ConfigurationContext.DOCUMENT,
+                ConfigurationContext.Document,
                 documentKey(action.version),
-                now + READ_TIMEOUT,
+                now + CALL_TIMEOUT,
             )
+            is ConfigurationAction.Report -> report(self, action.version, now)
             is ConfigurationAction.Adopt,
             is ConfigurationAction.AnnounceVersion,
             is ConfigurationAction.AskPeer,
@@ -67,13 +72,36 @@
 
     /** Returns the event that brings [result] back to the configuration duty. */
     public fun toEvent(context: ConfigurationContext, result: StoreResult): ConfigurationEvent {
-        val found = result as? StoreResult.Found ?: return ConfigurationEvent.StoreFailed
-        return when (context) {
-            ConfigurationContext.HEAD -> ConfigurationEvent.HeadRead(decodeHead(found.row))
-            ConfigurationContext.DOCUMENT ->
-                ConfigurationEvent.DocumentRead(found.row?.let(::decodeDocument))
+        val row = (result as? StoreResult.Found)?.row
+        return when {
+            context is ConfigurationContext.Report -> ConfigurationEvent.Reported(
+                context.version,
+                isDone = result is StoreResult.Applied,
+            )
+            result !is StoreResult.Found -> ConfigurationEvent.StoreFailed
+            context is ConfigurationContext.Head -> ConfigurationEvent.HeadRead(decodeHead(row))
+            else -> ConfigurationEvent.DocumentRead(row?.let(::decodeDocument))
         }
     }
+
+    /** Returns which version each node reported last. */
+    public fun decodeReports(rows: List<Row>): Map<VmId, Long> = rows.associate { row ->
+        VmId(row.key.name.removePrefix(REPORT_PREFIX)) to decodeHead(row)
+    }
+
+    /** The table and prefix of the rows in which nodes report what is in force. */
+    public val reports: RowKey = RowKey(TABLE, REPORT_PREFIX)
+
+    private fun report(self: VmId, version: Long, now: Duration): PlatformEvent.Call {
+        val row = RowWrite(
+            RowKey(TABLE, REPORT_PREFIX + self.value),
+            Condition.Unconditional,
+            json.encodeToString(HeadMessage(version)),
+            expiresAfter = REPORT_RETENTION,
+        )
+        val context = ConfigurationContext.Report(version)
+        return PlatformEvent.Write(context, WriteGroup.of(row), now + CALL_TIMEOUT)
+    }
 }
 
 @Serializable
--- /dev/null
+++ b/library/src/main/kotlin/org/bilberrycart/idempotency/CallSettler.kt
@@ -0,0 +1,38 @@
+package org.bilberrycart.idempotency
+
+import org.bilberrycart.platform.Condition
+import org.bilberrycart.platform.RowWrite
+import org.bilberrycart.platform.StoreResult
+import org.bilberrycart.platform.TableClient
+import org.bilberrycart.platform.WaitingTable
+import org.bilberrycart.platform.WriteGroup
+
+/** Reads and settles call records for an operator, who waits; not for use in a node's duties. */
+public class CallSettler(table: TableClient) {
+    private val rows = WaitingTable(table)
+
+    /** Reads the record of [key]. */
+    public fun read(key: RecordKey): ReadResult =
+        when (val result = rows.read(CallRecordCodec.rowKeyOf(key))) {
+            is StoreResult.Found -> ReadResult.Found(result.row?.let(CallRecordCodec::decode))
+            else -> ReadResult.Failed
+        }
+
+    /** Writes that the call of [key] ended as [progress], if its record is still [stored]. */
+    public fun settle(key: RecordKey, stored: StoredRecord, progress: Progress): WriteResult {
+        val settled = stored.record.copy(progress = progress)
+        val write = RowWrite(
+            CallRecordCodec.rowKeyOf(key),
+            Condition.VersionIs(stored.version),
+            CallRecordCodec.encode(key, settled),
+            expiresAfter = IdempotencyStore.RETENTION,
+        )
+        return when (val result = rows.write(WriteGroup.of(write))) {
+            is StoreResult.Applied -> WriteResult.Written(result.version)
+            is StoreResult.Conflict ->
+                WriteResult.Conflict(result.row?.let(CallRecordCodec::decode))
+            is StoreResult.UnknownOutcome -> WriteResult.Unknown
+            else -> WriteResult.Refused
+        }
+    }
+}
--- a/library/src/main/kotlin/org/bilberrycart/idempotency/IdempotencyStore.kt
+++ b/library/src/main/kotlin/org/bilberrycart/idempotency/IdempotencyStore.kt
@@ -13,7 +13,7 @@
  *
  * @property retention how long the platform keeps a record; a key used again later is a new call.
  */
-public class IdempotencyStore(private val retention: Duration = 72.hours) {
+public class IdempotencyStore(private val retention: Duration = RETENTION) {
     /** Returns the call of the platform duty that carries out [action]. */
     public fun toCall(action: IdempotencyAction.Store): PlatformEvent.Call = when (action) {
         is IdempotencyAction.Insert -> {
@@ -76,4 +76,9 @@
         )
         return PlatformEvent.Write(contextOf(action), WriteGroup.of(row), action.deadline)
     }
+
+    public companion object {
+        /** How long the platform keeps a record unless told otherwise. */
+        public val RETENTION: Duration = 72.hours
+    }
 }
--- /dev/null
+++ b/library/src/main/kotlin/org/bilberrycart/node/ControlDuties.kt
@@ -0,0 +1,163 @@
+package org.bilberrycart.node
+
+import java.util.UUID
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+import org.bilberrycart.configuration.ConfigurationAction
+import org.bilberrycart.configuration.ConfigurationContext
+import org.bilberrycart.configuration.ConfigurationEvent
+import org.bilberrycart.configuration.ConfigurationFilter
+import org.bilberrycart.configuration.ConfigurationState
+import org.bilberrycart.configuration.ConfigurationStore
+import org.bilberrycart.idempotency.IdempotencyContext
+import org.bilberrycart.idempotency.IdempotencyStore
+import org.bilberrycart.lease.LeaseAction
+import org.bilberrycart.lease.LeaseContext
+import org.bilberrycart.lease.LeaseEvent
+import org.bilberrycart.lease.LeaseFilter
+import org.bilberrycart.lease.LeaseState
+import org.bilberrycart.lease.LeaseStore
+import org.bilberrycart.model.VmId
+import org.bilberrycart.orders.OrderClient
+import org.bilberrycart.orders.OrdersContext
+import org.bilberrycart.orders.OrdersEvent
+import org.bilberrycart.orders.OrdersFilter
+import org.bilberrycart.orders.OrdersSink
+import org.bilberrycart.orders.OrdersState
+import org.bilberrycart.orders.OrdersStore
+import org.bilberrycart.pipeline.Clock
+import org.bilberrycart.pipeline.Duty
+import org.bilberrycart.platform.PlatformEvent
+import org.bilberrycart.platform.PlatformFilter
+import org.bilberrycart.platform.PlatformLimits
+import org.bilberrycart.platform.PlatformSink
+import org.bilberrycart.platform.PlatformState
+import org.bilberrycart.platform.StoreContext
+import org.bilberrycart.platform.StoreResult
+import org.bilberrycart.platform.TableClient
+import org.bilberrycart.timer.Ticker
+
+/**
+ * The side duties that keep to the platform: its client, the configuration in force, the lease and
+ * the orders that its holder gives; a thread for each.
+ *
+ * @property rings the rings of the duties; other duties put their events into them.
+ */
+public class ControlDuties(
+    private val self: VmId,
+    table: TableClient,
+    private val output: ControlOutput,
+    private val clock: Clock,
+    limits: PlatformLimits = PlatformLimits(),
+    callLimit: Int = DEFAULT_CALL_LIMIT,
+    public val rings: ControlRings = ControlRings(callLimit),
+) : AutoCloseable {
+    private val records = IdempotencyStore()
+    private val orderClient = OrderClient { rings.orders.put(it) }
+
+    /** The client of the platform; its snapshot has the counters. */
+    public val platform: Duty<PlatformState, PlatformEvent, *> = Duty(
+        name = "platform",
+        ring = rings.platform,
+        initial = PlatformState(limits, seed = Random.nextLong()),
+        filter = PlatformFilter(),
+        clock = clock,
+        sink = PlatformSink(table, rings.platform, ::route),
+    )
+
+    /** The configuration in force; its snapshot has the document. */
+    public val configuration: Duty<ConfigurationState, ConfigurationEvent, *> = Duty(
+        name = "configuration",
+        ring = rings.configuration,
+        initial = ConfigurationState(seed = Random.nextLong()),
+        filter = ConfigurationFilter(),
+        clock = clock,
+        sink = ::configure,
+    )
+
+    /** The lease; its snapshot says whether this node holds it. */
+    public val lease: Duty<LeaseState, LeaseEvent, *> = Duty(
+        name = "lease",
+        ring = rings.lease,
+        initial = LeaseState(self, UUID.randomUUID().toString(), seed = Random.nextLong()),
+        filter = LeaseFilter(),
+        clock = clock,
+        sink = ::keepLease,
+    )
+
+    /** The orders to upstreams. */
+    public val orders: Duty<OrdersState, OrdersEvent, *> = Duty(
+        name = "orders",
+        ring = rings.orders,
+        initial = OrdersState(),
+        filter = OrdersFilter(),
+        clock = clock,
+        sink = OrdersSink(orderClient, clock, rings.orders, rings.platform),
+    )
+
+    private val duties = listOf(platform, configuration, lease, orders)
+    private val tickers = listOf(
+        Ticker(STORE_TICK, listOf(Ticker.Target(rings.platform, PlatformEvent.Tick))),
+        Ticker(
+            CONTROL_TICK,
+            listOf(
+                Ticker.Target(rings.configuration, ConfigurationEvent.Tick),
+                Ticker.Target(rings.lease, LeaseEvent.Tick),
+                Ticker.Target(rings.orders, OrdersEvent.Tick),
+            ),
+        ),
+    )
+
+    /** Starts the duties and their timers. */
+    public fun start(): ControlDuties = apply {
+        duties.forEach { it.start() }
+        tickers.forEach { it.start() }
+    }
+
+    override fun close() {
+        tickers.forEach { it.close() }
+        orderClient.close()
+        duties.forEach { it.close() }
+    }
+
+    private fun route(context: StoreContext, result: StoreResult) {
+        when (context) {
+            is IdempotencyContext -> output.idempotency(records.toEvent(context, result))
+            is ConfigurationContext ->
+                rings.configuration.put(ConfigurationStore.toEvent(context, result))
+            is LeaseContext -> rings.lease.put(LeaseStore.toEvent(context, result))
+            is OrdersContext -> rings.orders.put(OrdersStore.toEvent(context, result))
+        }
+    }
+
+    private fun configure(action: ConfigurationAction) {
+        when (action) {
+            ConfigurationAction.ReadHead,
+            is ConfigurationAction.ReadDocument,
+            is ConfigurationAction.Report,
+            -> ConfigurationStore.toCall(action, self, clock.now())?.let(rings.platform::put)
+            is ConfigurationAction.Adopt -> output.adopt(action.document)
+            is ConfigurationAction.AnnounceVersion -> output.announce(action.version)
+            is ConfigurationAction.AskPeer -> output.askPeer(action.peer)
+            is ConfigurationAction.SendDocument ->
+                output.sendDocument(action.peer, action.document)
+            is ConfigurationAction.ReadinessChanged -> output.ready(action.isReady)
+        }
+    }
+
+    private fun keepLease(action: LeaseAction) {
+        when (action) {
+            is LeaseAction.Read, is LeaseAction.Write ->
+                LeaseStore.toCall(action, clock.now())?.let(rings.platform::put)
+            is LeaseAction.Held ->
+                rings.orders.put(OrdersEvent.Held(action.fencing, action.validUntil))
+            is LeaseAction.Lapsed -> rings.orders.put(OrdersEvent.Lapsed)
+        }
+    }
+
+    private companion object {
+        const val DEFAULT_CALL_LIMIT = 4_000
+        val STORE_TICK = 10.milliseconds
+        val CONTROL_TICK = 100.milliseconds
+    }
+}
--- a/library/src/main/kotlin/org/bilberrycart/platform/CircuitBreaker.kt
+++ b/library/src/main/kotlin/org/bilberrycart/platform/CircuitBreaker.kt
@@ -49,8 +49,8 @@
     }
 
     private companion object {
-        const val FAILURES_TO_OPEN = 5
-        const val MAX_DOUBLINGS = 3
+        const val FAILURES_TO_OPEN = 3
+        const val MAX_DOUBLINGS = 2
         val BASE_OPEN = 500.milliseconds
         val PROBE_TIMEOUT = 2.seconds
     }
--- a/library/src/test/kotlin/org/bilberrycart/configuration/ConfigurationFilterTest.kt
+++ b/library/src/test/kotlin/org/bilberrycart/configuration/ConfigurationFilterTest.kt
@@ -10,8 +10,10 @@
 import org.bilberrycart.configuration.ConfigurationEvent.HeadRead
 import org.bilberrycart.configuration.ConfigurationEvent.PeerDocument
 import org.bilberrycart.configuration.ConfigurationEvent.PeerHasVersion
+import org.bilberrycart.configuration.ConfigurationEvent.Reported
 import org.bilberrycart.configuration.ConfigurationEvent.StoreFailed
 import org.bilberrycart.configuration.ConfigurationEvent.Tick
+import org.bilberrycart.configuration.ConfigurationEvent.VersionAccepted
 import org.bilberrycart.model.VmId
 
 private data class At(val seconds: Int, val event: ConfigurationEvent)
@@ -31,11 +33,13 @@
 
 private fun has(at: Int, version: Long) = At(at, PeerHasVersion(peer, version))
 
-private val started =
-    arrayOf(At(0, Tick), At(0, HeadRead(3)), At(0, DocumentRead(document(3))))
+private val adopted =
+    arrayOf(At(0, Tick), At(0, HeadRead(3)), At(0, DocumentRead(document(3))), At(0, Tick))
+
+private val started = arrayOf(*adopted, At(0, Reported(version = 3, isDone = true)))
 
 private val startedActions =
-    listOf("read head", "read 3", "adopt 3", "announce 3", "ready true")
+    listOf("read head", "read 3", "adopt 3", "announce 3", "ready true", "report 3")
 
 private fun describe(action: ConfigurationAction): String = when (action) {
     is ConfigurationAction.Adopt -> "adopt ${action.document.version}"
@@ -43,6 +47,7 @@
     is ConfigurationAction.AskPeer -> "ask ${action.peer}"
     is ConfigurationAction.ReadDocument -> "read ${action.version}"
     ConfigurationAction.ReadHead -> "read head"
+    is ConfigurationAction.Report -> "report ${action.version}"
     is ConfigurationAction.ReadinessChanged -> "ready ${action.isReady}"
     is ConfigurationAction.SendDocument -> "send ${action.document.version}"
 }
@@ -82,6 +87,20 @@
                     At(1, DocumentRead(document(4))),
                     then = startedActions + listOf("read head", "read 4", "adopt 4", "announce 4"),
                 ),
+                case(
+                    "an operator's command names a higher version: read at once",
+                    *started,
+                    At(1, VersionAccepted(4)),
+                    At(1, HeadRead(4)),
+                    then = startedActions + listOf("read head", "read 4"),
+                ),
+                case(
+                    "the report for operators is not stored: made again",
+                    *adopted,
+                    At(0, Reported(version = 3, isDone = false)),
+                    At(2, Tick),
+                    then = startedActions + "report 3",
+                ),
                 case(
                     "a peer is behind: it is told",
                     *started,
--- a/library/src/test/kotlin/org/bilberrycart/platform/PlatformFilterTest.kt
+++ b/library/src/test/kotlin/org/bilberrycart/platform/PlatformFilterTest.kt
@@ -55,7 +55,7 @@
     override fun dataTestName(): String = name
 }
 
-private fun outage(): List<Pair<Duration, PlatformEvent>> = (1..5).flatMap { n ->
+private fun outage(): List<Pair<Duration, PlatformEvent>> = (1..3).flatMap { n ->
     val at = (n * 10).milliseconds
     listOf(
         at to read(n, deadline = at + 20.milliseconds),
@@ -92,19 +92,19 @@
             }
         }
 
-        context("after five failures in a row calls are refused until a probe succeeds") {
+        context("after three failures in a row calls are refused until a probe succeeds") {
             withData(
-                BreakerCase("open", outage() + (60.milliseconds to read(6)), circuitOpen),
-                BreakerCase("probe under way", outage() + (2.seconds to read(6)), last = null),
+                BreakerCase("open", outage() + (60.milliseconds to read(4)), circuitOpen),
+                BreakerCase("probe under way", outage() + (2.seconds to read(4)), last = null),
                 BreakerCase(
                     "refused beside the probe",
-                    outage() + (2.seconds to read(6)) + (2.seconds to read(7)),
+                    outage() + (2.seconds to read(4)) + (2.seconds to read(5)),
                     circuitOpen,
                 ),
                 BreakerCase(
                     "closed by the probe",
-                    outage() + (2.seconds to read(6)) +
-                        (2.seconds to PlatformEvent.Ended(6, found)) + (2.seconds to read(7)),
+                    outage() + (2.seconds to read(4)) +
+                        (2.seconds to PlatformEvent.Ended(4, found)) + (2.seconds to read(5)),
                     last = null,
                 ),
             ) { case ->
--- a/standins/src/main/kotlin/org/bilberrycart/standins/platform/PlatformStandin.kt
+++ b/standins/src/main/kotlin/org/bilberrycart/standins/platform/PlatformStandin.kt
@@ -10,6 +10,7 @@
 import org.bilberrycart.pipeline.Duty
 import org.bilberrycart.pipeline.Ring
 import org.http4k.core.Response
+import org.http4k.core.Status
 import org.http4k.server.Http4kServer
 import org.http4k.server.Jetty
 import org.http4k.server.asServer
@@ -56,6 +57,11 @@
         duty.close()
     }
 
+    /** Misbehaves as [faults] says from now on. */
+    fun setFaults(faults: Faults) {
+        exchange({ StandinEvent.SetFaults(it, faults) }) { Response(Status.OK) }
+    }
+
     private fun exchange(
         event: (ticket: Long) -> StandinEvent,
         answer: (StandinReply) -> Response,
