--- a/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
@@ -14,10 +14,24 @@
     .subcommands(
         ServeCommand(),
         TryCommand(),
-        SoakCommand().subcommands(SoakPipelineCommand()),
-        ConfigCommand(),
-        StandInCommand().subcommands(StandInEngineCommand(), StandInServiceCommand()),
         TopCommand(),
-        CapacityCommand().subcommands(CapacityMetricsCommand(), CapacitySettingsCommand()),
+        ConfigCommand(),
+        CallCommand().subcommands(CallShowCommand(), CallSettleCommand()),
+        SoakCommand().subcommands(SoakPipelineCommand(), SoakActionsCommand()),
+        MeasureCommand().subcommands(
+            MeasureCommitCommand(),
+            MeasureOutageCommand(),
+            MeasureConfigurationCommand(),
+        ),
+        CapacityCommand().subcommands(
+            CapacityMetricsCommand(),
+            CapacitySettingsCommand(),
+            CapacityPlatformCommand(),
+        ),
+        StandInCommand().subcommands(
+            StandInEngineCommand(),
+            StandInServiceCommand(),
+            StandInPlatformCommand(),
+        ),
     )
     .main(args)
