Wire the platform side, metrics and the operator port into the node

Cause: configuration in force, lease, orders, histograms and the operator port stood beside the node.

--- a/bench/src/main/kotlin/org/bilberrycart/bench/pipeline/PipelineRun.kt
+++ b/bench/src/main/kotlin/org/bilberrycart/bench/pipeline/PipelineRun.kt
@@ -11,8 +11,8 @@
 import org.bilberrycart.dispatch.DispatchAction
 import org.bilberrycart.dispatch.UpstreamOutput
 import org.bilberrycart.health.HealthEvent
-import org.bilberrycart.journal.JournalAction
 import org.bilberrycart.membership.Member
+import org.bilberrycart.metrics.MetricsEvent
 import org.bilberrycart.model.AnswerPart
 import org.bilberrycart.model.Fingerprint
 import org.bilberrycart.model.GenerationRequest
@@ -29,8 +29,10 @@
 import org.bilberrycart.pipeline.Clock
 import org.bilberrycart.pipeline.Ring
 import org.bilberrycart.pipeline.Sink
-import org.bilberrycart.platform.AbsentTableClient
-import org.bilberrycart.platform.TableClient
+import org.bilberrycart.platform.PlatformEvent
+import org.bilberrycart.platform.StoreContext
+import org.bilberrycart.platform.StoreFailure
+import org.bilberrycart.platform.StoreResult
 
 /**
  * One randomised run of all decisions of a node, under a test clock and with fake engines.
@@ -63,8 +65,11 @@
     private var callers: PersistentList<FakeCaller> = persistentListOf()
     private var faults = 0L
 
-    override val table: TableClient
-        get() = AbsentTableClient
+    override fun store(
+        results: (StoreContext, StoreResult) -> Unit,
+    ): Sink<PlatformEvent.Call> = Sink { call ->
+        results(call.context, StoreResult.Unavailable(StoreFailure.CIRCUIT_OPEN))
+    }
 
     override fun upstreams(output: UpstreamOutput): Sink<DispatchAction> =
         FakeEngines(random, output, watch).also { engines = it }
@@ -78,8 +83,8 @@
         if (upstream.id in engines.left) ring.offer(HealthEvent.LeavingHeard(upstream.id, 1))
     }
 
-    override fun journal(action: JournalAction) {
-        watch.trace { "journal: $action" }
+    override fun count(event: MetricsEvent) {
+        watch.trace { "count: $event" }
     }
 
     override fun failure(duty: String, cause: Exception): Unit =
--- a/library/src/main/kotlin/org/bilberrycart/node/ControlDuties.kt
+++ b/library/src/main/kotlin/org/bilberrycart/node/ControlDuties.kt
@@ -35,6 +35,7 @@
 import org.bilberrycart.platform.StoreContext
 import org.bilberrycart.platform.StoreResult
 import org.bilberrycart.platform.TableClient
+import org.bilberrycart.replication.VerdictStore
 import org.bilberrycart.timer.Ticker
 
 /**
@@ -123,6 +124,7 @@
     private fun route(context: StoreContext, result: StoreResult) {
         when (context) {
             is IdempotencyContext -> output.idempotency(records.toEvent(context, result))
+            is VerdictStore.Context -> output.verdict(context, result)
             is ConfigurationContext ->
                 rings.configuration.put(ConfigurationStore.toEvent(context, result))
             is LeaseContext -> rings.lease.put(LeaseStore.toEvent(context, result))
--- a/library/src/main/kotlin/org/bilberrycart/node/ControlOutput.kt
+++ b/library/src/main/kotlin/org/bilberrycart/node/ControlOutput.kt
@@ -3,6 +3,8 @@
 import org.bilberrycart.configuration.ConfigurationDocument
 import org.bilberrycart.idempotency.IdempotencyEvent
 import org.bilberrycart.model.VmId
+import org.bilberrycart.platform.StoreResult
+import org.bilberrycart.replication.VerdictStore
 
 /** Where the control duties put what concerns the rest of the node; none of it may wait long. */
 public interface ControlOutput {
@@ -23,4 +25,7 @@
 
     /** A store call of the idempotency duty ended. */
     public fun idempotency(event: IdempotencyEvent)
+
+    /** A decision between the owner and the holder of a replica ended. */
+    public fun verdict(context: VerdictStore.Context, result: StoreResult): Unit = Unit
 }
--- a/library/src/main/kotlin/org/bilberrycart/node/ForwardSinks.kt
+++ b/library/src/main/kotlin/org/bilberrycart/node/ForwardSinks.kt
@@ -5,10 +5,10 @@
 import org.bilberrycart.dispatch.DispatchEvent
 import org.bilberrycart.health.HealthAction
 import org.bilberrycart.idempotency.IdempotencyAction
-import org.bilberrycart.idempotency.IdempotencyContext
 import org.bilberrycart.idempotency.IdempotencyEvent
 import org.bilberrycart.idempotency.IdempotencyStore
 import org.bilberrycart.journal.JournalEvent
+import org.bilberrycart.metrics.MetricsEvent
 import org.bilberrycart.model.AnswerPart
 import org.bilberrycart.model.AttemptId
 import org.bilberrycart.model.GenerationRequest
@@ -17,11 +17,10 @@
 import org.bilberrycart.model.ResultCode
 import org.bilberrycart.model.ServiceCall
 import org.bilberrycart.model.Upstream
+import org.bilberrycart.pipeline.Clock
 import org.bilberrycart.pipeline.Sink
-import org.bilberrycart.platform.StoreContext
-import org.bilberrycart.platform.StoreResult
+import org.bilberrycart.platform.PlatformEvent
 import org.bilberrycart.release.ReleaseEvent
-import org.bilberrycart.replication.VerdictStore
 import org.bilberrycart.routing.RoutingAction
 import org.bilberrycart.routing.RoutingEvent
 import org.bilberrycart.settings.FleetSettings
@@ -32,15 +31,18 @@
 internal class ForwardSinks(
     private val rings: NodeRings,
     private val loads: Sink<Upstream>,
+    private val store: Sink<PlatformEvent.Call>,
+    private val clock: Clock,
+    private val observer: NodeObserver,
     private val fleet: () -> FleetSettings,
 ) {
     private val records = IdempotencyStore()
-    private val verdicts = VerdictStore()
 
     fun admission(action: AdmissionAction) {
         when (action) {
             is AdmissionAction.Admit -> admit(action.request)
             is AdmissionAction.Refuse -> {
+                observer.count(MetricsEvent.Refused(action.code))
                 val end = AnswerPart.Failed(action.code, retryAfter = action.retryAfter)
                 rings.release.of(action.request).put(ReleaseEvent.Ended(action.request, end))
             }
@@ -48,6 +50,14 @@
     }
 
     private fun admit(request: Request) {
+        observer.count(
+            MetricsEvent.Admitted(
+                request = request.id,
+                organisation = request.organisation,
+                requestClass = request.requestClass,
+                arrivedAt = request.arrivedAt,
+            ),
+        )
         when (request) {
             is GenerationRequest -> {
                 val policy = fleet().generationPolicy(request.service)
@@ -61,12 +71,16 @@
 
     fun idempotency(action: IdempotencyAction) {
         when (action) {
-            is IdempotencyAction.Store -> rings.platform.put(records.toCall(action))
+            is IdempotencyAction.Store -> store.accept(records.toCall(action))
             is IdempotencyAction.Place -> rings.suspect.put(SuspectEvent.Place(action.placement))
             is IdempotencyAction.Cancel ->
                 rings.dispatch.put(DispatchEvent.Cancel(action.attempt))
-            is IdempotencyAction.Deliver -> rings.release.of(action.request)
-                .put(ReleaseEvent.Ended(action.request, action.part))
+            is IdempotencyAction.Deliver -> {
+                val code = (action.part as? AnswerPart.Failed)?.code
+                observer.count(MetricsEvent.Ended(action.request, code, clock.now()))
+                rings.release.of(action.request)
+                    .put(ReleaseEvent.Ended(action.request, action.part))
+            }
         }
     }
 
@@ -116,12 +130,4 @@
             is HealthAction.Returned -> rings.dispatch.put(DispatchEvent.Returned(action.upstream))
         }
     }
-
-    fun platformResult(context: StoreContext, result: StoreResult) {
-        when (context) {
-            is IdempotencyContext -> rings.idempotency.put(records.toEvent(context, result))
-            is VerdictStore.Context -> rings.replication.of(context.key.request)
-                .put(verdicts.toEvent(context, result))
-        }
-    }
 }
--- a/library/src/main/kotlin/org/bilberrycart/node/NetworkPorts.kt
+++ b/library/src/main/kotlin/org/bilberrycart/node/NetworkPorts.kt
@@ -13,9 +13,10 @@
 import org.bilberrycart.pipeline.Clock
 import org.bilberrycart.pipeline.Ring
 import org.bilberrycart.pipeline.Sink
-import org.bilberrycart.platform.AbsentTableClient
-import org.bilberrycart.platform.HttpTableClient
-import org.bilberrycart.platform.TableClient
+import org.bilberrycart.platform.PlatformEvent
+import org.bilberrycart.platform.StoreContext
+import org.bilberrycart.platform.StoreFailure
+import org.bilberrycart.platform.StoreResult
 import org.bilberrycart.settings.NodeSettings
 
 /**
@@ -28,10 +29,16 @@
     private val clock: Clock,
     private val peerSecret: String?,
 ) : PipelinePorts {
-    override val table: TableClient =
-        settings.platform?.let { HttpTableClient("http://$it") } ?: AbsentTableClient
+    /** The platform side of the node; null for a node without a platform. */
+    val control: NodeControl? = settings.platform?.let { NodeControl(settings, it, clock) }
 
-    private var opened: List<AutoCloseable> = listOf(table)
+    private var opened: List<AutoCloseable> = listOfNotNull(control)
+
+    override fun store(results: (StoreContext, StoreResult) -> Unit): Sink<PlatformEvent.Call> =
+        Sink { call ->
+            val absent = StoreResult.Unavailable(StoreFailure.REFUSED)
+            control?.submit(call) ?: results(call.context, absent)
+        }
 
     override fun upstreams(output: UpstreamOutput): Sink<DispatchAction> =
         UpstreamClient(output = output).also { opened = opened + it }
--- a/library/src/main/kotlin/org/bilberrycart/node/Node.kt
+++ b/library/src/main/kotlin/org/bilberrycart/node/Node.kt
@@ -8,9 +8,13 @@
 import org.bilberrycart.membership.Member
 import org.bilberrycart.membership.MemberRecord
 import org.bilberrycart.membership.PeerAddress
+import org.bilberrycart.metrics.OperatorApi
+import org.bilberrycart.metrics.OperatorChange
+import org.bilberrycart.metrics.OperatorPort
 import org.bilberrycart.pipeline.Clock
 import org.bilberrycart.pipeline.RingStats
 import org.bilberrycart.settings.Endpoint
+import org.bilberrycart.settings.FleetSettings
 import org.bilberrycart.settings.Settings
 import org.bilberrycart.timer.Ticker
 import org.slf4j.LoggerFactory
@@ -19,12 +23,18 @@
 public class Node(
     private val settings: Settings,
     private val clock: Clock = Clock(),
-    observer: NodeObserver = NodeObserver.None,
     peerSecret: String? = System.getenv(settings.node.peerSecretVariable),
 ) : AutoCloseable {
     private val limits = settings.fleet.limits
     private val ports = NetworkPorts(settings.node, clock, peerSecret)
-    private val pipeline = Pipeline(settings, clock, ports, observer)
+    private val control = ports.control
+    private val metrics: NodeMetrics = NodeMetrics(limits, clock) { ringStats() }
+    private val pipeline = Pipeline(settings, clock, ports, observer = metrics)
+    private val status = PipelineStatus(settings.node, pipeline, control, clock)
+    private val operators = OperatorPort(
+        endpoint = settings.node.operators,
+        api = OperatorApi(status, ::change, settings.node.operatorKeyHash, metrics::scrape),
+    )
     private val ticker = Ticker(TICK_PERIOD, pipeline.ticks)
     private val flushTicker = Ticker(FLUSH_PERIOD, pipeline.flushTicks)
     private val server = HttpServer(
@@ -38,6 +48,10 @@
     public val callersEndpoint: Endpoint
         get() = server.bound
 
+    /** Where operators connect, with the port that was taken. */
+    public val operatorsEndpoint: Endpoint
+        get() = operators.bound
+
     /** Where other nodes connect. */
     public val self: Member
         get() = pipeline.self
@@ -52,11 +66,16 @@
 
     /** Starts the duties, then the front end. */
     public fun start(): Node = apply {
+        metrics.start()
         pipeline.start()
-        pipeline.configure(settings.fleet)
+        configure(settings.fleet)
+        control?.start(
+            NodeControl.Users(pipeline::idempotency, pipeline::storeResult, ::configure),
+        )
         pipeline.discover(settings.node.seeds.map { PeerAddress(it.address, it.port) })
         ticker.start()
         flushTicker.start()
+        operators.start()
         server.start()
         log.info("event=node_started vm={} callers={}", settings.node.vm, callersEndpoint)
     }
@@ -88,12 +107,27 @@
         return inFlight == 0
     }
 
+    private fun configure(fleet: FleetSettings) {
+        pipeline.configure(fleet)
+        control?.declare(fleet)
+    }
+
+    private fun change(change: OperatorChange): Boolean = when (change) {
+        OperatorChange.Drain -> {
+            pipeline.drain()
+            true
+        }
+        is OperatorChange.UpstreamLeaving -> pipeline.upstreamLeaving(change.upstream)
+    }
+
     override fun close() {
         server.close()
+        operators.close()
         ticker.close()
         flushTicker.close()
         ports.close()
         pipeline.close()
+        metrics.close()
         log.info("event=node_stopped vm={}", settings.node.vm)
     }
 
--- a/library/src/main/kotlin/org/bilberrycart/node/NodeDuties.kt
+++ b/library/src/main/kotlin/org/bilberrycart/node/NodeDuties.kt
@@ -21,10 +21,6 @@
 import org.bilberrycart.pipeline.Shards
 import org.bilberrycart.pipeline.Sink
 import org.bilberrycart.pipeline.withActions
-import org.bilberrycart.platform.PlatformFilter
-import org.bilberrycart.platform.PlatformSink
-import org.bilberrycart.platform.PlatformState
-import org.bilberrycart.platform.TableClient
 import org.bilberrycart.release.ReleaseFilter
 import org.bilberrycart.release.ReleaseSettings
 import org.bilberrycart.release.ReleaseState
@@ -48,7 +44,6 @@
     peers: PeerSinks,
     self: Member,
     upstreams: Sink<DispatchAction>,
-    table: TableClient,
     private val clock: Clock,
     private val observer: NodeObserver,
     filters: PipelineFilters,
@@ -100,13 +95,6 @@
         filter = HealthFilter(),
         sink = forward::health,
     )
-    val platform = duty(
-        name = "platform",
-        ring = rings.platform,
-        initial = PlatformState(seed = seed),
-        filter = PlatformFilter(),
-        sink = PlatformSink(table, rings.platform, forward::platformResult),
-    )
     val journal =
         shards("journal", rings.journal, JournalState(), filters.journal, back::journal)
     val replication = shards(
@@ -151,7 +139,7 @@
         journal,
         replication,
         release,
-        listOf(takeover, platform, health, membership, inbound),
+        listOf(takeover, health, membership, inbound),
     ).flatten()
 
     private fun <S : Any, E : Any, A : Any> shards(
--- a/library/src/main/kotlin/org/bilberrycart/node/NodeRings.kt
+++ b/library/src/main/kotlin/org/bilberrycart/node/NodeRings.kt
@@ -13,7 +13,6 @@
 import org.bilberrycart.pipeline.Ring
 import org.bilberrycart.pipeline.RingStats
 import org.bilberrycart.pipeline.Shards
-import org.bilberrycart.platform.PlatformEvent
 import org.bilberrycart.release.ReleaseEvent
 import org.bilberrycart.replication.ReplicationEvent
 import org.bilberrycart.routing.RoutingEvent
@@ -44,14 +43,13 @@
     val release =
         Shards<ReleaseEvent>("release", limits.shards, control + TOKENS, reserve = control)
     val takeover = Ring<TakeoverEvent>("takeover", control + REPORTS, reserve = control)
-    val platform = Ring<PlatformEvent>("platform", control + REPORTS, reserve = control)
     val health = Ring<HealthEvent>("health", REPORTS)
     val membership = Ring<MembershipEvent>("membership", REPORTS)
     val inbound = Ring<PeerEvent>("inbound", TOKENS)
 
     private val all: List<Ring<*>> = listOf(admission, idempotency, suspect, routing, dispatch) +
         journal.rings + replication.rings + release.rings +
-        listOf(takeover, platform, health, membership, inbound)
+        listOf(takeover, health, membership, inbound)
 
     /** Tells routing and the suspect filter that [attempt] on [upstream] is over. */
     fun attemptEnded(attempt: AttemptId, upstream: UpstreamId, outcome: AttemptOutcome) {
--- a/library/src/main/kotlin/org/bilberrycart/node/PeerSinks.kt
+++ b/library/src/main/kotlin/org/bilberrycart/node/PeerSinks.kt
@@ -4,11 +4,14 @@
 import org.bilberrycart.membership.Member
 import org.bilberrycart.membership.MembershipAction
 import org.bilberrycart.membership.MembershipEvent
+import org.bilberrycart.metrics.MetricsEvent
+import org.bilberrycart.model.AnswerPart
 import org.bilberrycart.peer.LinksEvent
 import org.bilberrycart.peer.PeerEvent
 import org.bilberrycart.peer.PeerMessage
 import org.bilberrycart.pipeline.Clock
 import org.bilberrycart.pipeline.Sink
+import org.bilberrycart.platform.PlatformEvent
 import org.bilberrycart.release.ReleaseEvent
 import org.bilberrycart.replication.ReplicationAction
 import org.bilberrycart.replication.ReplicationEvent
@@ -23,7 +26,9 @@
     private val self: Member,
     private val rings: NodeRings,
     private val links: Sink<LinksEvent>,
+    private val store: Sink<PlatformEvent.Call>,
     private val clock: Clock,
+    private val observer: NodeObserver,
     private val fleet: () -> FleetSettings,
 ) {
     private val verdicts = VerdictStore()
@@ -50,20 +55,31 @@
 
     fun replication(action: ReplicationAction) {
         when (action) {
-            is ReplicationAction.Release -> rings.release.of(action.request)
-                .putBulk(ReleaseEvent.Released(action.request, action.epoch, action.tokens))
-            is ReplicationAction.ReleaseEnd -> rings.release.of(action.request)
-                .put(ReleaseEvent.Ended(action.request, action.end))
+            is ReplicationAction.Release -> release(action)
+            is ReplicationAction.ReleaseEnd -> releaseEnd(action)
             is ReplicationAction.Send ->
                 send(action.to, PeerMessage.Replication(action.messages))
             is ReplicationAction.Answer -> answer(action)
             is ReplicationAction.Decide ->
-                rings.platform.put(verdicts.toCall(action, clock.now()))
+                store.accept(verdicts.toCall(action, clock.now()))
             is ReplicationAction.Disown -> disown(action)
             is ReplicationAction.Adopted -> rings.takeover.put(TakeoverEvent.Adopted(action))
         }
     }
 
+    private fun release(action: ReplicationAction.Release) {
+        val request = action.request
+        observer.count(MetricsEvent.Released(request, action.tokens.size, clock.now()))
+        rings.release.of(request)
+            .putBulk(ReleaseEvent.Released(request, action.epoch, action.tokens))
+    }
+
+    private fun releaseEnd(action: ReplicationAction.ReleaseEnd) {
+        val code = (action.end as? AnswerPart.Failed)?.code
+        observer.count(MetricsEvent.Ended(action.request, code, clock.now()))
+        rings.release.of(action.request).put(ReleaseEvent.Ended(action.request, action.end))
+    }
+
     fun takeover(action: TakeoverAction) {
         when (action) {
             is TakeoverAction.Ask -> ask(action.to, action.message)
--- a/library/src/main/kotlin/org/bilberrycart/node/Pipeline.kt
+++ b/library/src/main/kotlin/org/bilberrycart/node/Pipeline.kt
@@ -8,20 +8,25 @@
 import org.bilberrycart.health.HealthEvent
 import org.bilberrycart.http.Callers
 import org.bilberrycart.http.FrontEnd
+import org.bilberrycart.idempotency.IdempotencyContext
 import org.bilberrycart.idempotency.IdempotencyEvent
+import org.bilberrycart.idempotency.IdempotencyStore
 import org.bilberrycart.journal.JournalEvent
 import org.bilberrycart.journal.JournalState
 import org.bilberrycart.membership.Member
 import org.bilberrycart.membership.MembershipEvent
 import org.bilberrycart.membership.MembershipState
 import org.bilberrycart.membership.PeerAddress
+import org.bilberrycart.model.UpstreamId
 import org.bilberrycart.pipeline.Clock
 import org.bilberrycart.pipeline.Duty
 import org.bilberrycart.pipeline.RingStats
-import org.bilberrycart.platform.PlatformEvent
+import org.bilberrycart.platform.StoreContext
+import org.bilberrycart.platform.StoreResult
 import org.bilberrycart.release.ReleaseEvent
 import org.bilberrycart.release.ReleaseSettings
 import org.bilberrycart.replication.ReplicationEvent
+import org.bilberrycart.replication.VerdictStore
 import org.bilberrycart.routing.RoutingEvent
 import org.bilberrycart.routing.RoutingState
 import org.bilberrycart.settings.FleetSettings
@@ -52,6 +57,9 @@
     private val fleet = AtomicReference(settings.fleet)
     private val releaseSettings = ReleaseSettings()
     private val rings = NodeRings(settings.fleet.limits)
+    private val store = ports.store(::storeResult)
+    private val records = IdempotencyStore()
+    private val verdicts = VerdictStore()
 
     /** The callers that are connected. */
     public val callers: Callers = Callers(releaseSettings.outboxParts)
@@ -64,12 +72,18 @@
         settings = settings.node,
         releaseSettings = releaseSettings,
         rings = rings,
-        forward = ForwardSinks(rings, ports.loads(rings.health), fleet::get),
+        forward = ForwardSinks(
+            rings,
+            ports.loads(rings.health),
+            store,
+            clock,
+            observer,
+            fleet::get,
+        ),
         back = ReturnSinks(rings, callers, observer),
-        peers = PeerSinks(peers.self, rings, peers.links, clock, fleet::get),
+        peers = PeerSinks(peers.self, rings, peers.links, store, clock, observer, fleet::get),
         self = peers.self,
         upstreams = ports.upstreams(UpstreamRelay(rings)),
-        table = ports.table,
         clock = clock,
         observer = observer,
         filters = filters,
@@ -88,7 +102,6 @@
             Ticker.Target(rings.suspect, SuspectEvent.Tick),
             Ticker.Target(rings.routing, RoutingEvent.Tick),
             Ticker.Target(rings.health, HealthEvent.Tick),
-            Ticker.Target(rings.platform, PlatformEvent.Tick),
             Ticker.Target(rings.takeover, TakeoverEvent.Tick),
             Ticker.Target(rings.membership, MembershipEvent.Tick),
         ) +
@@ -139,6 +152,24 @@
         rings.admission.put(AdmissionEvent.Configured(organisations))
     }
 
+    /** Hands the [result] of a store call to the duty that asked for it. */
+    public fun storeResult(context: StoreContext, result: StoreResult) {
+        when (context) {
+            is IdempotencyContext -> idempotency(records.toEvent(context, result))
+            is VerdictStore.Context -> rings.replication.of(context.key.request)
+                .put(verdicts.toEvent(context, result))
+        }
+    }
+
+    /** Hands [event] to the idempotency duty. */
+    public fun idempotency(event: IdempotencyEvent) {
+        rings.idempotency.put(event)
+    }
+
+    /** Gives [upstream] no new work from now on. */
+    public fun upstreamLeaving(upstream: UpstreamId): Boolean =
+        rings.health.offer(HealthEvent.LeavingHeard(upstream, incarnation = 0))
+
     /** Joins the nodes that listen at [addresses]. */
     public fun discover(addresses: List<PeerAddress>) {
         rings.membership.put(MembershipEvent.Discovered(addresses))
--- a/library/src/main/kotlin/org/bilberrycart/node/PipelinePorts.kt
+++ b/library/src/main/kotlin/org/bilberrycart/node/PipelinePorts.kt
@@ -7,12 +7,14 @@
 import org.bilberrycart.peer.PeerEvent
 import org.bilberrycart.pipeline.Ring
 import org.bilberrycart.pipeline.Sink
-import org.bilberrycart.platform.TableClient
+import org.bilberrycart.platform.PlatformEvent
+import org.bilberrycart.platform.StoreContext
+import org.bilberrycart.platform.StoreResult
 
 /** The input and output of a [Pipeline]: real connections in a node, small fakes in tests. */
 public interface PipelinePorts : AutoCloseable {
-    /** The platform's table. */
-    public val table: TableClient
+    /** Returns what takes calls to the platform's table; each result is handed to [results]. */
+    public fun store(results: (StoreContext, StoreResult) -> Unit): Sink<PlatformEvent.Call>
 
     /** Returns what carries out dispatch actions; what upstreams bring goes to [output]. */
     public fun upstreams(output: UpstreamOutput): Sink<DispatchAction>
--- a/library/src/main/kotlin/org/bilberrycart/node/ReturnSinks.kt
+++ b/library/src/main/kotlin/org/bilberrycart/node/ReturnSinks.kt
@@ -5,6 +5,7 @@
 import org.bilberrycart.http.Callers
 import org.bilberrycart.journal.JournalAction
 import org.bilberrycart.journal.JournalEvent
+import org.bilberrycart.metrics.MetricsEvent
 import org.bilberrycart.release.ReleaseAction
 import org.bilberrycart.replication.ReplicationEvent
 import org.bilberrycart.routing.RoutingEvent
@@ -38,10 +39,10 @@
                 rings.dispatch.put(DispatchEvent.Reattach(action.attempt, action.from))
             is JournalAction.ReportOutcome ->
                 rings.attemptEnded(action.attempt, action.upstream, action.outcome)
-            is JournalAction.CountStray,
-            is JournalAction.CountLoss,
-            is JournalAction.CountResume,
-            -> observer.journal(action)
+            is JournalAction.CountStray -> observer.count(MetricsEvent.StrayToken)
+            is JournalAction.CountLoss -> observer.count(MetricsEvent.Lost(action.cause))
+            is JournalAction.CountResume ->
+                observer.count(MetricsEvent.Resumed(action.request, action.latency))
         }
     }
 
--- a/library/src/main/kotlin/org/bilberrycart/replication/Sweep.kt
+++ b/library/src/main/kotlin/org/bilberrycart/replication/Sweep.kt
@@ -140,7 +140,7 @@
         now: Duration,
     ): ReplicationStep {
         val claim = replica.claim ?: return Step(state)
-        val limit = if (claim.isDeciding) state.settings.decideRetry else state.settings.yieldTimeout
+        val limit = with(state.settings) { if (claim.isDeciding) decideRetry else yieldTimeout }
         if (now - claim.since <= limit) return Step(state)
         return ClaimSide.askTable(state, replica.copy(claim = claim.copy(since = now)))
     }
