--- a/bench/src/main/kotlin/org/bilberrycart/bench/generations/SoakEvent.kt
+++ b/bench/src/main/kotlin/org/bilberrycart/bench/generations/SoakEvent.kt
@@ -27,11 +27,8 @@
     data class Tick(override val node: ProcessId) : OnNode()
 
     /** The engine of the journal of [request] in [epoch] gives the next token. */
-    data class TokenDue(
-        override val node: ProcessId,
-        val request: RequestId,
-        val epoch: Int,
-    ) : OnNode()
+    data class TokenDue(override val node: ProcessId, val request: RequestId, val epoch: Int) :
+        OnNode()
 
     /** [part] reaches the caller of [request] on its connection number [connection]. */
     data class Delivered(val request: RequestId, val connection: Long, val part: AnswerPart) :
@@ -43,6 +40,9 @@
     /** The caller of [request] comes back to any node. */
     data class CallerBack(val request: RequestId) : SoakEvent()
 
+    /** A scripted fault strikes whoever has the role now. */
+    data class Scripted(val fault: ScriptedFault) : SoakEvent()
+
     /** A fault strikes. */
     data class Strike(val fault: Fault) : SoakEvent()
 
--- a/bench/src/main/kotlin/org/bilberrycart/bench/generations/SoakPlan.kt
+++ b/bench/src/main/kotlin/org/bilberrycart/bench/generations/SoakPlan.kt
@@ -9,6 +9,7 @@
  *
  * @property tokens the length of each generation.
  * @property faults how many faults strike, all within [faultTime].
+ * @property script faults that strike besides, at set moments.
  * @property loss the share of messages that are lost; as many are repeated.
  * @property tableLoss the share of writes lost on the way, and of answers lost on the way back.
  * @property horizon when each caller must have an end.
@@ -25,5 +26,12 @@
     val loss: Double = 0.05,
     val tableLoss: Double = 0.05,
     val horizon: Duration = 60.seconds,
+    val script: List<ScriptedFault> = emptyList(),
     val planted: PlantedFault = PlantedFault.None,
-)
+) {
+    /**
+     * Whether an answer of which the caller has [tokens] tokens must become whole: no single fault
+     * may cost one. A lost message is a fault of its own to an answer that has not begun.
+     */
+    fun mustSurvive(tokens: Int): Boolean = faults + script.size <= 1 && (tokens > 0 || loss == 0.0)
+}
--- a/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
@@ -15,6 +15,7 @@
         ServeCommand(),
         TryCommand(),
         ConfigCommand(),
+        SoakCommand().subcommands(SoakGenerationsCommand()),
         StandInCommand().subcommands(StandInEngineCommand()),
     )
     .main(args)
--- a/library/src/main/kotlin/org/bilberrycart/membership/MembershipState.kt
+++ b/library/src/main/kotlin/org/bilberrycart/membership/MembershipState.kt
@@ -12,8 +12,7 @@
 /**
  * What one node knows of the others.
  *
- * @property incarnation must start higher than that of an earlier process of the same VM, such as
- *   at the start time in milliseconds.
+ * @property incarnation starts higher than that of any earlier process of the same VM.
  * @property seed the state of the random generator.
  * @property records the claim in force about each other member.
  * @property order the members still to probe in this round, in random order.
@@ -25,7 +24,7 @@
  */
 public data class MembershipState(
     val self: Member,
-    val incarnation: Long = 1,
+    val incarnation: Long = maxOf(1, self.run),
     val settings: MembershipSettings = MembershipSettings(),
     val seed: Long = self.vm.value.hashCode().toLong(),
     val leaving: Boolean = false,
--- a/library/src/main/kotlin/org/bilberrycart/node/NodeSinks.kt
+++ b/library/src/main/kotlin/org/bilberrycart/node/NodeSinks.kt
@@ -145,6 +145,12 @@
                 .putBulk(ReleaseEvent.Released(action.request, action.epoch, action.tokens))
             is ReplicationAction.ReleaseEnd -> rings.release.of(action.request)
                 .put(ReleaseEvent.Ended(action.request, action.end))
+            is ReplicationAction.Send,
+            is ReplicationAction.Answer,
+            is ReplicationAction.Decide,
+            is ReplicationAction.Disown,
+            is ReplicationAction.Adopted,
+            -> error("a node without peers cannot carry out $action")
         }
     }
 
--- a/library/src/main/kotlin/org/bilberrycart/peer/LinksFilter.kt
+++ b/library/src/main/kotlin/org/bilberrycart/peer/LinksFilter.kt
@@ -24,7 +24,10 @@
 
     private fun send(state: LinksState, send: LinksEvent.Send): LinksStep {
         val link = state.links[send.to.vm]
-        if (link != null) return state.withActions(LinksAction.Write(link, send.message))
+        if (link?.peer == send.to) return state.withActions(LinksAction.Write(link, send.message))
+        if (link != null && link.peer.run > send.to.run) {
+            return state.withActions(LinksAction.CountUnsent(1))
+        }
         return dial(state, send.to.peerAddress, persistentListOf(send))
     }
 
@@ -51,7 +54,7 @@
             links = state.links.put(link.peer.vm, link),
             waiting = event.dialled?.let { state.waiting.remove(it) } ?: state.waiting,
         )
-        val (own, others) = queue.partition { it.to.vm == link.peer.vm }
+        val (own, others) = queue.partition { it.to == link.peer }
         val writes = own.map { LinksAction.Write(link, it.message) }
         val actions: List<LinksAction> = listOf(LinksAction.Announce(link.peer)) + writes
         return Step(next, (actions + unsent(others.size)).toPersistentList())
--- a/library/src/main/kotlin/org/bilberrycart/peer/PeerMessage.kt
+++ b/library/src/main/kotlin/org/bilberrycart/peer/PeerMessage.kt
@@ -4,6 +4,7 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.CborArray
 import org.bilberrycart.membership.MembershipMessage
+import org.bilberrycart.news.NewsMessage
 import org.bilberrycart.replication.ReplicationMessage
 import org.bilberrycart.takeover.TakeoverMessage
 
@@ -22,6 +23,12 @@
     @CborArray
     public data class Replication(val messages: List<ReplicationMessage>) : PeerMessage()
 
+    /** For the news filter. */
+    @Serializable
+    @SerialName("n")
+    @CborArray
+    public data class News(val message: NewsMessage) : PeerMessage()
+
     /** For the takeover filter. */
     @Serializable
     @SerialName("t")
--- a/library/src/main/kotlin/org/bilberrycart/replication/ClaimSide.kt
+++ b/library/src/main/kotlin/org/bilberrycart/replication/ClaimSide.kt
@@ -5,6 +5,7 @@
 import kotlinx.collections.immutable.toPersistentList
 import org.bilberrycart.membership.Member
 import org.bilberrycart.model.EventId
+import org.bilberrycart.model.Lineage
 import org.bilberrycart.model.OrganisationId
 import org.bilberrycart.model.ResultCode
 import org.bilberrycart.model.Token
@@ -88,9 +89,11 @@
         val end = replica.end
         val pending = Replica.PendingClaim(from, message.claim, now)
         return when {
+            refusal != ResultCode.NOT_FOUND && isBehind(replica, message.after) ->
+                answer(state, from, TakeoverMessage.Behind(message.request, message.claim))
             refusal != null -> refuse(state, from, message, refusal)
             end != null -> answer(state, from, whole(replica, end, message.claim, now))
-            replica.owner.vm == from.vm && replica.granted == message.claim ->
+            replica.owner == from && replica.granted == message.claim ->
                 state.withActions(reply(from, grantOf(replica, message.claim, now)))
             replica.claim != null && replica.claim.claimant.vm != from.vm ->
                 answer(state, from, TakeoverMessage.Undecided(message.request, message.claim))
@@ -99,7 +102,7 @@
                 replica.copy(claim = replica.claim.copy(number = message.claim)),
             )
             replica.isYielded -> grant(state, replica.copy(claim = pending), now)
-            state.members[replica.owner.vm]?.isReachable == true -> askOwner(
+            state.isLive(replica.owner) -> askOwner(
                 state,
                 replica,
                 pending,
@@ -108,6 +111,14 @@
         }
     }
 
+    /** Whether the caller has seen more than this replica, which must be an old one then. */
+    private fun isBehind(replica: Replica, after: EventId?): Boolean = after != null &&
+        (
+            after.epoch > replica.key.epoch ||
+                after.epoch == replica.key.epoch &&
+                after.index >= replica.texts.size
+            )
+
     private fun refusal(
         message: ReplicationMessage.Claim,
         organisation: OrganisationId,
@@ -120,7 +131,7 @@
     }
 
     private fun isOff(position: EventId, lineage: Lineage, size: Int): Boolean =
-        !lineage.contains(position, size)
+        position.index >= size || !lineage.contains(position.epoch, position.index)
 
     private fun askOwner(
         state: ReplicationState,
@@ -187,7 +198,7 @@
         val next = replica.copy(
             key = replica.key.copy(epoch = epoch, term = 1),
             owner = claim.claimant,
-            lineage = replica.lineage.continued(epoch, replica.texts.size),
+            lineage = replica.lineage.begin(epoch, replica.texts.size),
             touchedAt = now,
             isYielded = false,
             claim = null,
@@ -217,6 +228,7 @@
             tokens = replica.texts.mapIndexed(::Token).toPersistentList(),
             place = replica.place,
             term = replica.key.term,
+            released = replica.texts.size,
             progressAt = now,
         )
         val start = void(state, replica.key, now)
@@ -235,7 +247,6 @@
     private fun whole(replica: Replica, end: ReplicaEnd, claim: Long, now: Duration) =
         TakeoverMessage.Whole(
             claim = claim,
-            epoch = replica.key.epoch,
             record = GenerationRecord.of(replica.generation, now),
             lineage = replica.lineage,
             texts = replica.texts,
--- a/library/src/main/kotlin/org/bilberrycart/replication/HolderChoice.kt
+++ b/library/src/main/kotlin/org/bilberrycart/replication/HolderChoice.kt
@@ -26,6 +26,7 @@
         term = owned.term + 1,
         holder = HolderState.Active(holder),
         isStored = false,
+        isHeld = false,
         sent = 0,
         acked = 0,
         isEndAcked = false,
@@ -60,11 +61,12 @@
         record: MemberRecord,
         now: Duration,
     ): ReplicationStep {
-        val isHolder = (owned.holder as? HolderState.Active)?.member?.vm == record.member.vm
+        val holder = (owned.holder as? HolderState.Active)?.member
+        val isHolder = holder != null && holder.vm == record.member.vm
         val isAlone = owned.holder == HolderState.None
         return when {
             owned.isEndReleased -> Step(state)
-            isHolder && !record.isReachable -> moveOn(state, owned, record.member, now)
+            isHolder && !state.isLive(checkNotNull(holder)) -> moveOn(state, owned, holder, now)
             isHolder && record.leaving -> retire(state, owned, record.member, now)
             isAlone && record.status == MemberStatus.ALIVE -> place(state, owned, now)
             else -> Step(state)
@@ -99,8 +101,8 @@
 
     fun dropped(state: ReplicationState, key: ReplicaKey, now: Duration): ReplicationStep {
         val owned = state.owned[key.request]
-        val isRetiring = owned?.key == key && owned.holder is HolderState.Retiring
-        return if (isRetiring) next(state, checkNotNull(owned), null, now) else Step(state)
+        if (owned?.key != key || owned.holder is HolderState.Deciding) return Step(state)
+        return next(state, owned, null, now)
     }
 
     /** Lets the table decide whether the owner may go on without a lost [holder]. */
@@ -154,7 +156,7 @@
     ): ReplicationStep {
         val counts = state.counts.copy(switches = state.counts.switches + 1)
         val counted = state.copy(counts = counts)
-        val isThere = preferred != null && state.members[preferred.vm]?.isReachable == true
+        val isThere = preferred != null && state.isLive(preferred)
         return if (isThere) {
             val moved = withHolder(owned, checkNotNull(preferred), now)
             OwnerSide.changed(counted, moved, now)
--- a/library/src/main/kotlin/org/bilberrycart/replication/HolderSide.kt
+++ b/library/src/main/kotlin/org/bilberrycart/replication/HolderSide.kt
@@ -19,21 +19,26 @@
     ): ReplicationStep {
         val key = message.key
         val known = state.replicas[key.request]
-        if (state.isDropped(key) ||
-            known != null &&
-            known.key > key
-        ) {
-            return refuse(state, from, key)
-        }
         val owned = state.owned[key.request]
-        if (owned != null && owned.epoch >= key.epoch) return refuse(state, from, key)
-        if (owned != null) {
-            return OwnerSide.disown(state, owned, now).then { store(it, from, message, now) }
-        }
-        if (known?.key == key && known.texts.size > message.texts.size) {
-            return acknowledge(state, from, known.copy(touchedAt = now))
+        val isOver = state.isDropped(key) || known != null && known.key > key
+        return when {
+            isOver || owned != null && owned.epoch >= key.epoch -> refuse(state, from, key)
+            owned != null ->
+                OwnerSide.disown(state, owned, now).then { store(it, from, message, now) }
+            known?.key == key && known.texts.size > message.texts.size ->
+                acknowledge(state, from, known.copy(touchedAt = now))
+            else -> acknowledge(state, from, replica(from, message, known, now))
         }
-        val replica = Replica(
+    }
+
+    private fun replica(
+        from: Member,
+        message: ReplicationMessage.Store,
+        known: Replica?,
+        now: Duration,
+    ): Replica {
+        val key = message.key
+        return Replica(
             key = key,
             owner = from,
             generation = message.record.toRequest(now),
@@ -45,7 +50,6 @@
             isYielded = known?.key == key && known.isYielded,
             claim = known?.claim.takeIf { known?.key == key },
         )
-        return acknowledge(state, from, replica)
     }
 
     fun append(
@@ -92,10 +96,25 @@
         ),
     )
 
-    private fun refuse(state: ReplicationState, to: Member, key: ReplicaKey): ReplicationStep =
-        state.withActions(reply(to, ReplicationMessage.Fence(key)))
+    /** Tells the owner that [key] is over: given up by itself, or followed by another owner. */
+    private fun refuse(state: ReplicationState, to: Member, key: ReplicaKey): ReplicationStep {
+        val isGivenUp = state.marks[key.request]?.droppedKey == key
+        val answer = if (isGivenUp) {
+            ReplicationMessage.Dropped(
+                key,
+            )
+        } else {
+            ReplicationMessage.Fence(key)
+        }
+        return state.withActions(reply(to, answer))
+    }
 
-    /** Gives a replica up for its owner, unless a claim of it is being decided. */
+    /**
+     * Gives a replica up for its owner, unless a claim of it is being decided.
+     *
+     * A holder that does not remember the agreement may have given the generation away under it, so
+     * it says nothing and leaves the owner to the table.
+     */
     fun drop(
         state: ReplicationState,
         from: Member,
@@ -103,13 +122,12 @@
         now: Duration,
     ): ReplicationStep {
         val known = state.replicas[key.request]
+        val dropped = reply(from, ReplicationMessage.Dropped(key))
         return when {
-            known != null && known.key > key -> refuse(state, from, key)
+            known != null && known.key > key || state.isDropped(key) -> refuse(state, from, key)
             known?.key == key && (known.claim != null || known.isYielded) -> Step(state)
-            else -> Step(
-                void(state, key, now),
-                persistentListOf(reply(from, ReplicationMessage.Dropped(key))),
-            )
+            known?.key == key -> Step(void(state, key, now), persistentListOf(dropped))
+            else -> Step(state)
         }
     }
 
--- a/library/src/main/kotlin/org/bilberrycart/replication/Owned.kt
+++ b/library/src/main/kotlin/org/bilberrycart/replication/Owned.kt
@@ -6,28 +6,32 @@
 import org.bilberrycart.membership.Member
 import org.bilberrycart.model.AnswerPart
 import org.bilberrycart.model.GenerationRequest
+import org.bilberrycart.model.Lineage
 import org.bilberrycart.model.Token
 
 /**
  * A generation that this node owns.
  *
  * @property tokens the whole journal.
+ * @property isStored whether the whole went to the holder in this term; [isHeld] once confirmed.
  * @property sent tokens that went to the holder in this term.
  * @property acked tokens that the holder confirmed in this term.
  * @property released tokens that went to the caller; never more than were once confirmed.
+ * @property sentAt when the oldest unconfirmed token was last sent.
  * @property progressAt when the holder last confirmed something, or last had nothing to confirm.
  * @property handingOver whether the node leaves and another is to take the generation over.
  */
 public data class Owned(
     val generation: GenerationRequest,
     val epoch: Int,
-    val lineage: Lineage = Lineage.startingIn(epoch),
+    val lineage: Lineage = Lineage.start(epoch),
     val tokens: PersistentList<Token> = persistentListOf(),
     val end: AnswerPart? = null,
     val place: AttemptPlace? = null,
     val term: Int = 0,
     val holder: HolderState = HolderState.None,
     val isStored: Boolean = false,
+    val isHeld: Boolean = false,
     val sent: Int = 0,
     val acked: Int = 0,
     val isEndAcked: Boolean = false,
@@ -44,7 +48,11 @@
 
     /** Whether the holder has not confirmed all there is. */
     public val isOutstanding: Boolean
-        get() = !isStored || acked < tokens.size || (end != null && !isEndAcked)
+        get() = !isHeld || acked < tokens.size || (end != null && !isEndAcked)
+
+    /** Whether something that was sent is not confirmed. */
+    public val isInFlight: Boolean
+        get() = isStored && (!isHeld || sent > acked)
 
     /** How an owner stands to its holder. */
     public sealed class HolderState {
--- a/library/src/main/kotlin/org/bilberrycart/replication/OwnerSide.kt
+++ b/library/src/main/kotlin/org/bilberrycart/replication/OwnerSide.kt
@@ -113,7 +113,7 @@
             isStored = true,
             isPlaceSent = true,
             sent = owned.tokens.size,
-            sentAt = now,
+            sentAt = if (owned.isInFlight) owned.sentAt else now,
         )
         val message = if (owned.isStored) append(owned) else store(owned, now)
         return Step(
@@ -148,16 +148,22 @@
         if (owned?.key != message.key || owned.holder !is HolderState.Active) return Step(state)
         val count = minOf(message.count, owned.tokens.size)
         val next = owned.copy(
+            isHeld = true,
             acked = maxOf(owned.acked, count),
             isEndAcked = owned.isEndAcked || message.hasEnd,
-            progressAt = now,
         )
-        return Releasing.settle(state, next, now)
+        val hasProgress = next != owned || !owned.isOutstanding
+        val timed = if (hasProgress) next.copy(progressAt = now, sentAt = now) else next
+        return Releasing.settle(state, timed, now)
     }
 
+    /** Sends the whole again, unless the holder had it once and may have given it away. */
     fun missing(state: ReplicationState, key: ReplicaKey, now: Duration): ReplicationStep {
         val owned = state.owned[key.request]
-        if (owned?.key != key || owned.holder !is HolderState.Active) return Step(state)
+        val holder = owned?.holder as? HolderState.Active
+        if (owned?.key != key || holder == null) return Step(state)
+        val isLost = owned.isHeld || now - owned.progressAt > state.settings.ackTimeout
+        if (isLost) return HolderChoice.moveOn(state, owned, holder.member, now)
         val next = owned.copy(isStored = false, sent = 0, acked = 0, isEndAcked = false)
         return changed(state, next, now)
     }
@@ -167,7 +173,11 @@
         return if (owned?.key == key) disown(state, owned, now) else Step(state)
     }
 
-    /** Answers a holder whose replica another node claims. */
+    /**
+     * Answers a holder whose replica another node claims.
+     *
+     * An owner that asked the table itself, or that remembers nothing, leaves it to the table.
+     */
     fun yieldTo(
         state: ReplicationState,
         from: Member,
@@ -178,14 +188,11 @@
         val isNewer = owned != null && owned.key > key
         return when {
             isNewer -> state.withActions(reply(from, ReplicationMessage.Superseded(key)))
-            owned?.key == key && owned.holder !is HolderState.Active -> Step(state)
-            owned?.key == key -> disown(state, owned, now).then {
-                it.withActions(reply(from, ReplicationMessage.Yielded(key)))
-            }
-            else -> Step(
-                fence(state, key.request, key.epoch, now),
-                persistentListOf(reply(from, ReplicationMessage.Yielded(key))),
-            )
+            owned?.key == key && owned.holder is HolderState.Active ->
+                disown(state, owned, now).then {
+                    it.withActions(reply(from, ReplicationMessage.Yielded(key)))
+                }
+            else -> Step(state)
         }
     }
 
@@ -209,9 +216,11 @@
             term = message.key.term,
             holder = HolderState.Active(from),
             isStored = true,
+            isHeld = true,
             isPlaceSent = true,
             sent = size,
             acked = size,
+            released = size,
             progressAt = now,
         )
         return adopt(state, owned, message.claim, now).then { HolderChoice.improve(it, id, now) }
--- a/library/src/main/kotlin/org/bilberrycart/replication/Releasing.kt
+++ b/library/src/main/kotlin/org/bilberrycart/replication/Releasing.kt
@@ -12,7 +12,11 @@
 internal object Releasing {
     /** Puts [owned] back and releases what may go to the caller. */
     fun settle(state: ReplicationState, owned: Owned, now: Duration): ReplicationStep {
-        val limit = if (isAlone(state, owned)) owned.tokens.size else owned.acked
+        val limit = when {
+            owned.isEndReleased -> owned.released
+            isAlone(state, owned) -> owned.tokens.size
+            else -> owned.acked
+        }
         val end = owned.end.takeIf { isEndDue(state, owned, limit) }
         val next = owned.copy(
             released = maxOf(owned.released, limit),
--- a/library/src/main/kotlin/org/bilberrycart/replication/Rendezvous.kt
+++ b/library/src/main/kotlin/org/bilberrycart/replication/Rendezvous.kt
@@ -16,6 +16,12 @@
         return members.sortedByDescending { score(hash, it.vm) }
     }
 
+    /** Returns the member of the highest rank; [members] must not be empty. */
+    fun best(request: RequestId, members: List<Member>): Member {
+        val hash = hash(request.value)
+        return members.maxBy { score(hash, it.vm) }
+    }
+
     private fun score(hash: Long, vm: VmId): Long =
         SeededRandom.mix(hash xor SeededRandom.mix(hash(vm.value)))
 
--- a/library/src/main/kotlin/org/bilberrycart/replication/Replica.kt
+++ b/library/src/main/kotlin/org/bilberrycart/replication/Replica.kt
@@ -4,6 +4,7 @@
 import kotlinx.collections.immutable.PersistentList
 import org.bilberrycart.membership.Member
 import org.bilberrycart.model.GenerationRequest
+import org.bilberrycart.model.Lineage
 
 /**
  * A copy of a generation that [owner] owns.
--- a/library/src/main/kotlin/org/bilberrycart/replication/ReplicationAction.kt
+++ b/library/src/main/kotlin/org/bilberrycart/replication/ReplicationAction.kt
@@ -4,6 +4,7 @@
 import org.bilberrycart.membership.Member
 import org.bilberrycart.model.AnswerPart
 import org.bilberrycart.model.GenerationRequest
+import org.bilberrycart.model.Lineage
 import org.bilberrycart.model.RequestId
 import org.bilberrycart.model.Token
 import org.bilberrycart.takeover.TakeoverMessage
@@ -34,7 +35,8 @@
      */
     public data class Disown(val request: RequestId, val epoch: Int) : ReplicationAction()
 
-    /** This node owns [generation] in [epoch] from now on; the takeover duty asked by [claim]. */
+    /** This node owns [generation] in [epoch] from now on; the takeover duty asked by [claim].
+     * All [tokens] may go to the caller. */
     public data class Adopted(
         val claim: Long,
         val generation: GenerationRequest,
--- a/library/src/main/kotlin/org/bilberrycart/replication/ReplicationMessage.kt
+++ b/library/src/main/kotlin/org/bilberrycart/replication/ReplicationMessage.kt
@@ -4,6 +4,7 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.CborArray
 import org.bilberrycart.model.EventId
+import org.bilberrycart.model.Lineage
 import org.bilberrycart.model.OrganisationId
 import org.bilberrycart.model.RequestId
 
--- a/library/src/main/kotlin/org/bilberrycart/replication/ReplicationState.kt
+++ b/library/src/main/kotlin/org/bilberrycart/replication/ReplicationState.kt
@@ -42,6 +42,10 @@
         val droppedKey: ReplicaKey? = null,
     )
 
+    /** Whether the very process [member] can answer, as far as this node knows. */
+    public fun isLive(member: Member): Boolean =
+        members[member.vm]?.let { it.isReachable && it.member == member } ?: false
+
     /** Whether this node may no longer own [request] in [epoch]. */
     public fun isFenced(request: RequestId, epoch: Int): Boolean =
         (marks[request]?.fencedEpoch ?: 0) >= epoch
--- a/library/src/main/kotlin/org/bilberrycart/replication/SoloFilter.kt
+++ b/library/src/main/kotlin/org/bilberrycart/replication/SoloFilter.kt
@@ -12,7 +12,6 @@
         event: ReplicationEvent,
         now: Duration,
     ): Step<Unit, ReplicationAction> = when (event) {
-        is ReplicationEvent.Began, ReplicationEvent.Tick -> Step(Unit)
         is ReplicationEvent.Appended -> Step(
             Unit,
             persistentListOf(
@@ -25,5 +24,6 @@
                 ReplicationAction.ReleaseEnd(event.request, event.epoch, event.end),
             ),
         )
+        else -> Step(Unit)
     }
 }
--- a/library/src/main/kotlin/org/bilberrycart/replication/Sweep.kt
+++ b/library/src/main/kotlin/org/bilberrycart/replication/Sweep.kt
@@ -88,7 +88,7 @@
 
     private fun resend(state: ReplicationState, owned: Owned, now: Duration): ReplicationStep {
         if (now - owned.sentAt <= state.settings.retransmit) return Step(state)
-        val again = owned.copy(isStored = owned.acked > 0, sent = owned.acked, isPlaceSent = false)
+        val again = owned.copy(isStored = owned.isHeld, sent = owned.acked, isPlaceSent = false)
         return OwnerSide.changed(state, again, now)
     }
 
@@ -140,7 +140,8 @@
         now: Duration,
     ): ReplicationStep {
         val claim = replica.claim ?: return Step(state)
-        val limit = if (claim.isDeciding) state.settings.decideRetry else state.settings.yieldTimeout
+        val settings = state.settings
+        val limit = if (claim.isDeciding) settings.decideRetry else settings.yieldTimeout
         if (now - claim.since <= limit) return Step(state)
         return ClaimSide.askTable(state, replica.copy(claim = claim.copy(since = now)))
     }
--- a/library/src/main/kotlin/org/bilberrycart/takeover/SearchEnd.kt
+++ b/library/src/main/kotlin/org/bilberrycart/takeover/SearchEnd.kt
@@ -1,10 +1,10 @@
 package org.bilberrycart.takeover
 
 import kotlinx.collections.immutable.toPersistentList
+import org.bilberrycart.model.Lineage
 import org.bilberrycart.model.RequestId
 import org.bilberrycart.model.ResultCode
 import org.bilberrycart.pipeline.Step
-import org.bilberrycart.replication.Lineage
 import org.bilberrycart.takeover.TakeoverState.Search
 
 /** Hands each caller over whose position lies on the generation, and refuses the others. */
@@ -16,7 +16,10 @@
     size: Int,
 ): Step<TakeoverState, TakeoverAction> {
     val actions = search.callers.map { waiting ->
-        if (waiting.after?.let { lineage.contains(it, size) } == false) {
+        val after = waiting.after
+        val isOff = after != null &&
+            (after.index >= size || !lineage.contains(after.epoch, after.index))
+        if (isOff) {
             TakeoverAction.Refuse(waiting.caller, request, ResultCode.LINEAGE_MISMATCH)
         } else {
             TakeoverAction.Reconnect(
--- a/library/src/main/kotlin/org/bilberrycart/takeover/TakeoverAction.kt
+++ b/library/src/main/kotlin/org/bilberrycart/takeover/TakeoverAction.kt
@@ -5,6 +5,7 @@
 import org.bilberrycart.model.AnswerPart
 import org.bilberrycart.model.EventId
 import org.bilberrycart.model.GenerationRequest
+import org.bilberrycart.model.Lineage
 import org.bilberrycart.model.OrganisationId
 import org.bilberrycart.model.RequestId
 import org.bilberrycart.model.ResultCode
@@ -26,11 +27,15 @@
         val after: EventId?,
     ) : TakeoverAction()
 
-    /** The journal continues [generation] in [epoch] after [tokens]; [place] may still run. */
+    /**
+     * The journal continues [generation] in [epoch] after [tokens], which the release filter gets
+     * at once; the attempt at [place] may still run.
+     */
     public data class Adopt(
         val generation: GenerationRequest,
         val epoch: Int,
         val tokens: PersistentList<Token>,
+        val lineage: Lineage,
         val place: AttemptPlace?,
     ) : TakeoverAction()
 
@@ -38,8 +43,8 @@
     public data class Replay(
         val request: RequestId,
         val organisation: OrganisationId,
-        val epoch: Int,
         val tokens: PersistentList<Token>,
+        val lineage: Lineage,
         val end: AnswerPart,
     ) : TakeoverAction()
 
--- a/library/src/main/kotlin/org/bilberrycart/takeover/TakeoverFilter.kt
+++ b/library/src/main/kotlin/org/bilberrycart/takeover/TakeoverFilter.kt
@@ -93,6 +93,8 @@
             is TakeoverMessage.Found ->
                 claimNext(state, message.request, search.copy(found = search.found.add(from)), now)
             is TakeoverMessage.NotHere -> absent(state, message.request, search, from, now)
+            is TakeoverMessage.Behind ->
+                absent(state, message.request, search.copy(hadBehind = true), from, now)
             is TakeoverMessage.Moved -> moved(state, message, search, from, now)
             is TakeoverMessage.OwnedHere ->
                 finish(state, message.request, search, message.lineage, message.size)
@@ -189,6 +191,7 @@
             adoption.generation,
             adoption.epoch,
             adoption.tokens,
+            adoption.lineage,
             adoption.place,
         )
         val request = adoption.generation.id
@@ -208,8 +211,8 @@
         val replay = TakeoverAction.Replay(
             request = generation.id,
             organisation = generation.organisation,
-            epoch = message.epoch,
             tokens = message.texts.mapIndexed(::Token).toPersistentList(),
+            lineage = message.lineage,
             end = message.end.toAnswerPart(),
         )
         return Step(state, persistentListOf<TakeoverAction>(replay))
@@ -236,8 +239,13 @@
         return when {
             age > settings.giveUp && search.hadUndecided ->
                 refuseAll(state, request, search, ResultCode.STORE_UNAVAILABLE)
-            age > settings.giveUp || isNowhere && claimed == null && age > settings.settle ->
-                refuseAll(state, request, search, ResultCode.GENERATION_LOST)
+            age > settings.giveUp || isNowhere && claimed == null && age > settings.settle -> {
+                val code = when {
+                    search.hadBehind -> ResultCode.LINEAGE_MISMATCH
+                    else -> ResultCode.GENERATION_LOST
+                }
+                refuseAll(state, request, search, code)
+            }
             claimed != null -> claimAgain(state, request, search, claimed, now)
             now - search.askedAt > settings.retry -> {
                 val again = search.copy(askedAt = now, found = search.found.clear())
--- a/library/src/main/kotlin/org/bilberrycart/takeover/TakeoverMessage.kt
+++ b/library/src/main/kotlin/org/bilberrycart/takeover/TakeoverMessage.kt
@@ -3,10 +3,10 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.CborArray
+import org.bilberrycart.model.Lineage
 import org.bilberrycart.model.RequestId
 import org.bilberrycart.model.VmId
 import org.bilberrycart.replication.GenerationRecord
-import org.bilberrycart.replication.Lineage
 import org.bilberrycart.replication.ReplicaEnd
 import org.bilberrycart.replication.ReplicaKey
 
@@ -33,6 +33,13 @@
     public data class NotHere(override val request: RequestId, override val claim: Long) :
         TakeoverMessage()
 
+    /** The replica here ends before the caller's position. */
+    @Serializable
+    @SerialName("b")
+    @CborArray
+    public data class Behind(override val request: RequestId, override val claim: Long) :
+        TakeoverMessage()
+
     /** The generation is to be claimed of [holder]; null if that is not known. */
     @Serializable
     @SerialName("m")
@@ -60,7 +67,6 @@
     @CborArray
     public data class Whole(
         override val claim: Long,
-        val epoch: Int,
         val record: GenerationRecord,
         val lineage: Lineage,
         val texts: List<String>,
--- a/library/src/main/kotlin/org/bilberrycart/takeover/TakeoverState.kt
+++ b/library/src/main/kotlin/org/bilberrycart/takeover/TakeoverState.kt
@@ -36,6 +36,7 @@
      * @property found members that said they have it and were not tried yet.
      * @property absent members that said they do not have it.
      * @property claimed the member whose answer to a claim is awaited, with [claimAttempts].
+     * @property hadBehind whether some replica ended before the caller's position.
      * @property hadUndecided whether some holder could not decide.
      */
     public data class Search(
@@ -49,6 +50,7 @@
         val claimed: VmId? = null,
         val claimedAt: Duration = Duration.ZERO,
         val claimAttempts: Int = 0,
+        val hadBehind: Boolean = false,
         val hadUndecided: Boolean = false,
     )
 }
