--- a/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
@@ -14,8 +14,8 @@
     .subcommands(
         ServeCommand(),
         TryCommand(),
+        SoakCommand().subcommands(SoakPipelineCommand(), SoakGenerationsCommand()),
         ConfigCommand(),
-        SoakCommand().subcommands(SoakGenerationsCommand()),
-        StandInCommand().subcommands(StandInEngineCommand()),
+        StandInCommand().subcommands(StandInEngineCommand(), StandInServiceCommand()),
     )
     .main(args)
