--- a/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
@@ -17,7 +17,11 @@
         TopCommand(),
         ConfigCommand(),
         CallCommand().subcommands(CallShowCommand(), CallSettleCommand()),
-        SoakCommand().subcommands(SoakPipelineCommand(), SoakActionsCommand()),
+        SoakCommand().subcommands(
+            SoakPipelineCommand(),
+            SoakGenerationsCommand(),
+            SoakActionsCommand(),
+        ),
         MeasureCommand().subcommands(
             MeasureCommitCommand(),
             MeasureOutageCommand(),
--- a/library/src/main/kotlin/org/bilberrycart/peer/LinkHandshake.kt
+++ b/library/src/main/kotlin/org/bilberrycart/peer/LinkHandshake.kt
@@ -65,10 +65,11 @@
             doFinal(PeerCodec.encodeHandshake(verifier))
         }
 
-    private companion object {
-        const val ALGORITHM = "HmacSHA256"
-        const val VERSION = 1
+    internal companion object {
         const val NONCE_BYTES = 16
-        const val MAX_HANDSHAKE_BYTES = 1024
+        const val MAC_BYTES = 32
+        private const val ALGORITHM = "HmacSHA256"
+        private const val VERSION = 1
+        private const val MAX_HANDSHAKE_BYTES = 1024
     }
 }
--- a/library/src/main/kotlin/org/bilberrycart/peer/PeerCodec.kt
+++ b/library/src/main/kotlin/org/bilberrycart/peer/PeerCodec.kt
@@ -9,20 +9,29 @@
 import kotlinx.serialization.encodeToByteArray
 import org.bilberrycart.membership.Member
 
-/** Turns messages into CBOR and back; throws `SerializationException` on malformed bytes. */
-internal object PeerCodec {
+/** Turns messages into CBOR and back. */
+public object PeerCodec {
     private val cbor = Cbor {
         useDefiniteLengthEncoding = true
         ignoreUnknownKeys = true
     }
 
-    fun encode(message: PeerMessage): ByteArray = cbor.encodeToByteArray(message)
+    /** Returns the bytes of [message], without the length that goes before them. */
+    public fun encode(message: PeerMessage): ByteArray = cbor.encodeToByteArray(message)
 
-    fun decode(bytes: ByteArray): PeerMessage = cbor.decodeFromByteArray(bytes)
+    /** Returns the message of [bytes]; throws `SerializationException` if they are malformed. */
+    public fun decode(bytes: ByteArray): PeerMessage = cbor.decodeFromByteArray(bytes)
 
-    fun encodeHandshake(message: Handshake): ByteArray = cbor.encodeToByteArray(message)
+    /** Returns the bytes that [self] sends to open one link, lengths included. */
+    public fun handshakeBytes(self: Member): Int {
+        val hello = Handshake.Hello(0, self, ByteArray(LinkHandshake.NONCE_BYTES))
+        val proof = Handshake.Proof(ByteArray(LinkHandshake.MAC_BYTES))
+        return listOf(hello, proof).sumOf { encodeHandshake(it).size + FRAME_HEADER_BYTES }
+    }
+
+    internal fun encodeHandshake(message: Handshake): ByteArray = cbor.encodeToByteArray(message)
 
-    fun decodeHandshake(bytes: ByteArray): Handshake = cbor.decodeFromByteArray(bytes)
+    internal fun decodeHandshake(bytes: ByteArray): Handshake = cbor.decodeFromByteArray(bytes)
 }
 
 /** The two messages with which each end of a link proves that it knows the secret. */
--- a/library/src/main/kotlin/org/bilberrycart/replication/HolderChoice.kt
+++ b/library/src/main/kotlin/org/bilberrycart/replication/HolderChoice.kt
@@ -26,6 +26,7 @@
         term = owned.term + 1,
         holder = HolderState.Active(holder),
         isStored = false,
+        isHeld = false,
         sent = 0,
         acked = 0,
         isEndAcked = false,
--- a/library/src/main/kotlin/org/bilberrycart/replication/HolderSide.kt
+++ b/library/src/main/kotlin/org/bilberrycart/replication/HolderSide.kt
@@ -19,21 +19,26 @@
     ): ReplicationStep {
         val key = message.key
         val known = state.replicas[key.request]
-        if (state.isDropped(key) ||
-            known != null &&
-            known.key > key
-        ) {
-            return refuse(state, from, key)
-        }
         val owned = state.owned[key.request]
-        if (owned != null && owned.epoch >= key.epoch) return refuse(state, from, key)
-        if (owned != null) {
-            return OwnerSide.disown(state, owned, now).then { store(it, from, message, now) }
-        }
-        if (known?.key == key && known.texts.size > message.texts.size) {
-            return acknowledge(state, from, known.copy(touchedAt = now))
+        val isOver = state.isDropped(key) || known != null && known.key > key
+        return when {
+            isOver || owned != null && owned.epoch >= key.epoch -> refuse(state, from, key)
+            owned != null ->
+                OwnerSide.disown(state, owned, now).then { store(it, from, message, now) }
+            known?.key == key && known.texts.size > message.texts.size ->
+                acknowledge(state, from, known.copy(touchedAt = now))
+            else -> acknowledge(state, from, replica(from, message, known, now))
         }
-        val replica = Replica(
+    }
+
+    private fun replica(
+        from: Member,
+        message: ReplicationMessage.Store,
+        known: Replica?,
+        now: Duration,
+    ): Replica {
+        val key = message.key
+        return Replica(
             key = key,
             owner = from,
             generation = message.record.toRequest(now),
@@ -45,7 +50,6 @@
             isYielded = known?.key == key && known.isYielded,
             claim = known?.claim.takeIf { known?.key == key },
         )
-        return acknowledge(state, from, replica)
     }
 
     fun append(
--- a/library/src/main/kotlin/org/bilberrycart/replication/Owned.kt
+++ b/library/src/main/kotlin/org/bilberrycart/replication/Owned.kt
@@ -13,6 +13,7 @@
  * A generation that this node owns.
  *
  * @property tokens the whole journal.
+ * @property isStored whether the whole went to the holder in this term; [isHeld] once confirmed.
  * @property sent tokens that went to the holder in this term.
  * @property acked tokens that the holder confirmed in this term.
  * @property released tokens that went to the caller; never more than were once confirmed.
@@ -30,6 +31,7 @@
     val term: Int = 0,
     val holder: HolderState = HolderState.None,
     val isStored: Boolean = false,
+    val isHeld: Boolean = false,
     val sent: Int = 0,
     val acked: Int = 0,
     val isEndAcked: Boolean = false,
@@ -46,7 +48,11 @@
 
     /** Whether the holder has not confirmed all there is. */
     public val isOutstanding: Boolean
-        get() = !isStored || acked < tokens.size || (end != null && !isEndAcked)
+        get() = !isHeld || acked < tokens.size || (end != null && !isEndAcked)
+
+    /** Whether something that was sent is not confirmed. */
+    public val isInFlight: Boolean
+        get() = isStored && (!isHeld || sent > acked)
 
     /** Whether something that was sent is not confirmed. */
     public val isInFlight: Boolean
--- a/library/src/main/kotlin/org/bilberrycart/replication/OwnerSide.kt
+++ b/library/src/main/kotlin/org/bilberrycart/replication/OwnerSide.kt
@@ -148,6 +148,7 @@
         if (owned?.key != message.key || owned.holder !is HolderState.Active) return Step(state)
         val count = minOf(message.count, owned.tokens.size)
         val next = owned.copy(
+            isHeld = true,
             acked = maxOf(owned.acked, count),
             isEndAcked = owned.isEndAcked || message.hasEnd,
         )
@@ -161,7 +162,7 @@
         val owned = state.owned[key.request]
         val holder = owned?.holder as? HolderState.Active
         if (owned?.key != key || holder == null) return Step(state)
-        val isLost = owned.acked > 0 || now - owned.progressAt > state.settings.ackTimeout
+        val isLost = owned.isHeld || now - owned.progressAt > state.settings.ackTimeout
         if (isLost) return HolderChoice.moveOn(state, owned, holder.member, now)
         val next = owned.copy(isStored = false, sent = 0, acked = 0, isEndAcked = false)
         return changed(state, next, now)
@@ -215,6 +216,7 @@
             term = message.key.term,
             holder = HolderState.Active(from),
             isStored = true,
+            isHeld = true,
             isPlaceSent = true,
             sent = size,
             acked = size,
