--- a/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
@@ -12,10 +12,12 @@
 /** Runs the command line. */
 fun main(args: Array<String>) = Bilberrycart()
     .subcommands(
+        ServeCommand(),
         TryCommand(),
+        SoakCommand().subcommands(SoakPipelineCommand()),
         ConfigCommand(),
         TopCommand(),
         CapacityCommand().subcommands(CapacityMetricsCommand(), CapacitySettingsCommand()),
-        StandInCommand().subcommands(StandInEngineCommand()),
+        StandInCommand().subcommands(StandInEngineCommand(), StandInServiceCommand()),
     )
     .main(args)
--- a/library/src/main/kotlin/org/bilberrycart/dispatch/UpstreamClient.kt
+++ b/library/src/main/kotlin/org/bilberrycart/dispatch/UpstreamClient.kt
@@ -35,6 +35,7 @@
         when (action) {
             is DispatchAction.Open -> open(action.placement, action.upstream)
             is DispatchAction.Abort -> abort(action.attempt, action.upstream)
+            is DispatchAction.Detach -> detach(action.attempt)
             is DispatchAction.SendProbe -> probe(action.attempt, action.upstream)
             is DispatchAction.Reopen -> reopen(action)
             is DispatchAction.Forget -> exchanges = exchanges.remove(action.attempt)
@@ -57,7 +58,7 @@
         val http = client.newRequest(upstream.uri("/v1/streams"))
             .method(HttpMethod.POST)
             .body(StringRequestContent(JSON, body))
-        start(StreamExchange(placement.attempt, request, http, output))
+        start(StreamExchange(placement.attempt, request, upstream, http, output))
     }
 
     private fun call(attempt: AttemptId, request: ServiceCall, upstream: Upstream) {
@@ -72,14 +73,16 @@
                 request.key?.let { headers.put(KEY_HEADER, it.value) }
             }
             .body(StringRequestContent(JSON, request.body))
-        start(CallExchange(attempt, request, http, output, settings.maxReplyBytes))
+        start(
+            CallExchange(attempt, request, upstream, http, output, settings.maxReplyBytes),
+        )
     }
 
     private fun reopen(action: DispatchAction.Reopen) {
         val old = exchanges[action.attempt] ?: return
         old.abort()
         val http = fresh(action.upstream, "/v1/streams/${action.attempt}?from=${action.from}")
-        start(StreamExchange(action.attempt, old.request, http, output))
+        start(StreamExchange(action.attempt, old.request, old.upstream, http, output))
     }
 
     private fun start(exchange: Exchange) {
@@ -90,7 +93,7 @@
     private fun abort(attempt: AttemptId, upstream: Upstream) {
         val exchange = exchanges[attempt] ?: return
         exchanges = exchanges.remove(attempt)
-        exchange.abort()
+        if (exchange.abort()) output.aborted(attempt, exchange.request, upstream)
         if (exchange.request is GenerationRequest) {
             fresh(upstream, "/v1/streams/$attempt")
                 .method(HttpMethod.DELETE)
@@ -99,13 +102,19 @@
         }
     }
 
+    private fun detach(attempt: AttemptId) {
+        val exchange = exchanges[attempt] ?: return
+        exchanges = exchanges.remove(attempt)
+        if (exchange.abort()) output.aborted(attempt, exchange.request, exchange.upstream)
+    }
+
     private fun probe(attempt: AttemptId, upstream: Upstream) {
         val exchange = exchanges[attempt] ?: return
         fresh(upstream, "/v1/health")
             .timeout(settings.probeTimeout.inWholeMilliseconds, TimeUnit.MILLISECONDS)
             .send { result ->
                 val isAlive = result.isSucceeded && result.response.status == STATUS_OK
-                output.event(exchange.request, UpstreamEvent.Probed(attempt, isAlive))
+                output.event(exchange.request, upstream, UpstreamEvent.Probed(attempt, isAlive))
             }
     }
 
--- /dev/null
+++ b/library/src/main/kotlin/org/bilberrycart/node/ForwardSinks.kt
@@ -0,0 +1,127 @@
+package org.bilberrycart.node
+
+import org.bilberrycart.admission.AdmissionAction
+import org.bilberrycart.admission.AdmissionEvent
+import org.bilberrycart.dispatch.DispatchEvent
+import org.bilberrycart.health.HealthAction
+import org.bilberrycart.idempotency.IdempotencyAction
+import org.bilberrycart.idempotency.IdempotencyContext
+import org.bilberrycart.idempotency.IdempotencyEvent
+import org.bilberrycart.idempotency.IdempotencyStore
+import org.bilberrycart.journal.JournalEvent
+import org.bilberrycart.model.AnswerPart
+import org.bilberrycart.model.AttemptId
+import org.bilberrycart.model.GenerationRequest
+import org.bilberrycart.model.Placement
+import org.bilberrycart.model.Request
+import org.bilberrycart.model.ResultCode
+import org.bilberrycart.model.ServiceCall
+import org.bilberrycart.model.Upstream
+import org.bilberrycart.pipeline.Sink
+import org.bilberrycart.platform.StoreContext
+import org.bilberrycart.platform.StoreResult
+import org.bilberrycart.release.ReleaseEvent
+import org.bilberrycart.replication.VerdictStore
+import org.bilberrycart.routing.RoutingAction
+import org.bilberrycart.routing.RoutingEvent
+import org.bilberrycart.settings.FleetSettings
+import org.bilberrycart.suspect.SuspectAction
+import org.bilberrycart.suspect.SuspectEvent
+
+/** Carries the actions on the way from callers to upstreams into the ring of the next filter. */
+internal class ForwardSinks(
+    private val rings: NodeRings,
+    private val loads: Sink<Upstream>,
+    private val fleet: () -> FleetSettings,
+) {
+    private val records = IdempotencyStore()
+    private val verdicts = VerdictStore()
+
+    fun admission(action: AdmissionAction) {
+        when (action) {
+            is AdmissionAction.Admit -> admit(action.request)
+            is AdmissionAction.Refuse -> {
+                val end = AnswerPart.Failed(action.code, retryAfter = action.retryAfter)
+                rings.release.of(action.request).put(ReleaseEvent.Ended(action.request, end))
+            }
+        }
+    }
+
+    private fun admit(request: Request) {
+        when (request) {
+            is GenerationRequest -> {
+                val policy = fleet().generationPolicy(request.service)
+                rings.journal.of(request.id).put(JournalEvent.Opened(request, policy))
+                val first = AttemptId(request.id, epoch = 1, number = 1)
+                rings.suspect.put(SuspectEvent.Place(Placement(first, request)))
+            }
+            is ServiceCall -> rings.idempotency.put(IdempotencyEvent.Arrived(request))
+        }
+    }
+
+    fun idempotency(action: IdempotencyAction) {
+        when (action) {
+            is IdempotencyAction.Store -> rings.platform.put(records.toCall(action))
+            is IdempotencyAction.Place -> rings.suspect.put(SuspectEvent.Place(action.placement))
+            is IdempotencyAction.Cancel ->
+                rings.dispatch.put(DispatchEvent.Cancel(action.attempt))
+            is IdempotencyAction.Deliver -> rings.release.of(action.request)
+                .put(ReleaseEvent.Ended(action.request, action.part))
+        }
+    }
+
+    fun suspect(action: SuspectAction) {
+        when (action) {
+            is SuspectAction.Place -> rings.routing.put(RoutingEvent.Place(action.placement))
+            is SuspectAction.Refuse -> unplaceable(action.attempt, action.request, action.code)
+            is SuspectAction.Spread -> Unit
+        }
+    }
+
+    fun routing(action: RoutingAction) {
+        when (action) {
+            is RoutingAction.Dispatch -> {
+                rings.admission.put(AdmissionEvent.Started(action.placement.request.id))
+                rings.dispatch.put(DispatchEvent.Start(action.placement, action.upstream))
+            }
+            is RoutingAction.Unplaceable -> {
+                rings.suspect.put(SuspectEvent.NotPlaced(action.attempt))
+                unplaceable(action.attempt, action.request, action.code)
+            }
+            is RoutingAction.AnnounceClosed -> Unit
+            is RoutingAction.ReportCapacity -> rings.admission.put(
+                AdmissionEvent.CapacityChanged(action.service, action.slots, action.others),
+            )
+        }
+    }
+
+    private fun unplaceable(attempt: AttemptId, request: Request, code: ResultCode) {
+        when (request) {
+            is GenerationRequest ->
+                rings.journal.of(request.id).put(JournalEvent.Unplaceable(attempt, code))
+            is ServiceCall -> rings.idempotency.put(IdempotencyEvent.Unplaceable(attempt, code))
+        }
+    }
+
+    fun health(action: HealthAction) {
+        when (action) {
+            is HealthAction.Poll -> loads.accept(action.upstream)
+            is HealthAction.Report ->
+                rings.routing.offer(RoutingEvent.LoadReported(action.upstream, action.load))
+            is HealthAction.Leaving -> {
+                rings.dispatch.put(DispatchEvent.Leaving(action.upstream))
+                rings.suspect.put(SuspectEvent.Leaving(action.upstream))
+                rings.routing.put(RoutingEvent.Leaving(action.upstream, action.incarnation))
+            }
+            is HealthAction.Returned -> rings.dispatch.put(DispatchEvent.Returned(action.upstream))
+        }
+    }
+
+    fun platformResult(context: StoreContext, result: StoreResult) {
+        when (context) {
+            is IdempotencyContext -> rings.idempotency.put(records.toEvent(context, result))
+            is VerdictStore.Context -> rings.replication.of(context.key.request)
+                .put(verdicts.toEvent(context, result))
+        }
+    }
+}
