--- a/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
@@ -17,6 +17,8 @@
         TopCommand(),
         ConfigCommand(),
         CallCommand().subcommands(CallShowCommand(), CallSettleCommand()),
+        LoadCommand(),
+        ExperimentPoliciesCommand(),
         SoakCommand().subcommands(
             SoakPipelineCommand(),
             SoakGenerationsCommand(),
@@ -31,6 +33,7 @@
             CapacityMetricsCommand(),
             CapacitySettingsCommand(),
             CapacityPlatformCommand(),
+            CapacityRoutingCommand(),
         ),
         StandInCommand().subcommands(
             StandInEngineCommand(),
