--- a/daemon/src/main/kotlin/org/bilberrycart/daemon/ConfigHistoryCommand.kt
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/ConfigHistoryCommand.kt
@@ -23,7 +23,7 @@
     override fun run() = HttpTableClient(platform).use { table ->
         val publisher = ConfigurationPublisher(table)
         val head = publisher.head() ?: fail("the store does not answer")
-        (head downTo maxOf(1, head - last + 1)).forEach { show(publisher, it) }
+        for (version in head downTo maxOf(1, head - last + 1)) show(publisher, version)
         publisher.reports().orEmpty().toSortedMap().forEach { (vm, version) ->
             echo("node $vm has version $version in force")
         }
