--- a/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
@@ -14,6 +14,8 @@
     .subcommands(
         ServeCommand(),
         TryCommand(),
+        ExperimentPoliciesCommand(),
+        CapacityCommand().subcommands(CapacityRoutingCommand()),
         ConfigCommand(),
         StandInCommand().subcommands(StandInEngineCommand()),
     )
--- a/library/src/main/kotlin/org/bilberrycart/admission/AdmissionFilter.kt
+++ b/library/src/main/kotlin/org/bilberrycart/admission/AdmissionFilter.kt
@@ -1,6 +1,7 @@
 package org.bilberrycart.admission
 
 import kotlin.math.ceil
+import kotlin.math.roundToInt
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.DurationUnit
@@ -42,7 +43,10 @@
         invariant("admission_once", request.id !in state.requests) {
             "${request.id} is admitted already"
         }
-        val held = state.organisation(request.organisation).refilled(state.nodes, now)
+        val work = state.service(request.service).durationOf(request.requestClass)
+        val held = state.organisation(request.organisation)
+            .refilled(state.nodes, now)
+            .offered(work, now)
         val next = state.with(request.organisation, held)
         val refusal = next.refusalOf(request, held, now)
         return if (refusal == null) admit(next, request, held, now) else next.withActions(refusal)
@@ -128,7 +132,7 @@
 ): AdmissionAction.Refuse? = when {
     isDraining -> refusal(request, ResultCode.DRAINING, MIN_RETRY)
     request.deadline <= now -> refusal(request, ResultCode.DEADLINE_PASSED)
-    else -> limitRefusal(request, held) ?: shareRefusal(request) ?: waitRefusal(request, now)
+    else -> limitRefusal(request, held) ?: shareRefusal(request, now) ?: waitRefusal(request, now)
 }
 
 private fun AdmissionState.limitRefusal(
@@ -152,11 +156,12 @@
     }
 }
 
-private fun AdmissionState.shareRefusal(request: Request): AdmissionAction.Refuse? {
+private fun AdmissionState.shareRefusal(request: Request, now: Duration): AdmissionAction.Refuse? {
     val load = service(request.service)
     val used = organisation(request.organisation).inService[request.service] ?: 0
     val mayBorrow = load.load + 1 <= load.slots * settings.borrowLimit
-    val isOver = used + 1 > fairShare(request.organisation, request.service)
+    val share = fairShare(request.organisation, request.service, now).roundToInt()
+    val isOver = used + 1 > share
     if (!load.isKnown || mayBorrow || !isOver) return null
     val wait = load.durationOf(request.requestClass) / maxOf(1, used)
     return refusal(request, ResultCode.LIMIT_REACHED, wait)
--- a/library/src/main/kotlin/org/bilberrycart/admission/AdmissionSettings.kt
+++ b/library/src/main/kotlin/org/bilberrycart/admission/AdmissionSettings.kt
@@ -11,14 +11,14 @@
  *
  * @property shortReserve the share of the slots that long drafts leave to the other classes.
  * @property borrowLimit the load, as a share of the slots, up to which an organisation may use more
- * than its fair share.
+ * than its fair share, and the part of its share that one with a burst may use beyond that.
  * @property shortWait the longest predicted wait with which a short question is admitted.
  * @property callWait the same for checks and actions.
  * @property draftWait the same for long drafts.
  */
 @Serializable
 public data class AdmissionSettings(
-    val shortReserve: Double = 0.1,
+    val shortReserve: Double = 0.2,
     val borrowLimit: Double = 0.8,
     val shortWait: Duration = 500.milliseconds,
     val callWait: Duration = 2.seconds,
--- a/library/src/main/kotlin/org/bilberrycart/admission/AdmissionState.kt
+++ b/library/src/main/kotlin/org/bilberrycart/admission/AdmissionState.kt
@@ -50,16 +50,24 @@
     }
 
     /**
-     * Returns how many requests to [service] this node may take for [id] while others wait.
+     * Returns how many requests to [service] this node may take for [id] while slots are scarce.
      *
-     * It is the weighted share of the slots, plus a tolerance for the random spread of arrivals.
+     * It is the weighted share of the slots, plus a tolerance for the random spread of arrivals
+     * that shrinks as the slots fill. An organisation that is alone has no limit. One that offers
+     * far more than its share has no tolerance and leaves the head room of the others.
      */
-    internal fun fairShare(id: OrganisationId, service: ServiceId): Double {
+    internal fun fairShare(id: OrganisationId, service: ServiceId, now: Duration): Double {
         val held = organisation(id)
         val total = activeWeight + if (held.isActive) 0 else held.limits.weight
-        val share = service(service).slots.toDouble() * held.limits.weight / total
-        val tolerant = share + SPREAD * sqrt(share)
-        return nodeShare(tolerant, nodes, held.heard.concurrent.toDouble())
+        if (total == held.limits.weight) return Double.POSITIVE_INFINITY
+        val slots = service(service).slots.toDouble()
+        val share = slots * held.limits.weight / total
+        val free = (1 - service(service).load / maxOf(1.0, slots)).coerceAtLeast(0.0)
+        val tolerance = SPREAD * sqrt(share) * minOf(1.0, free / (1 - settings.borrowLimit))
+        val offered = held.offeredRate.at(now) + held.heard.offered
+        val isBurst = offered > BURST_FACTOR * share
+        val allowed = if (isBurst) share * settings.borrowLimit else share + tolerance
+        return nodeShare(allowed, nodes, held.heard.concurrent.toDouble())
     }
 
     internal fun with(id: OrganisationId, next: OrganisationState): AdmissionState {
@@ -75,6 +83,7 @@
 
     private companion object {
         const val SPREAD = 2.0
+        const val BURST_FACTOR = 1.5
         val UNKNOWN = OrganisationState()
         val UNLOADED = ServiceLoad()
     }
--- a/library/src/main/kotlin/org/bilberrycart/admission/DecayingRate.kt
+++ b/library/src/main/kotlin/org/bilberrycart/admission/DecayingRate.kt
@@ -19,6 +19,6 @@
         DecayingRate(at(now) + count / HORIZON.toDouble(DurationUnit.SECONDS), now)
 
     private companion object {
-        val HORIZON = 10.seconds
+        val HORIZON = 30.seconds
     }
 }
--- a/library/src/main/kotlin/org/bilberrycart/admission/OrganisationState.kt
+++ b/library/src/main/kotlin/org/bilberrycart/admission/OrganisationState.kt
@@ -1,6 +1,7 @@
 package org.bilberrycart.admission
 
 import kotlin.time.Duration
+import kotlin.time.DurationUnit
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
 import org.bilberrycart.model.RequestClass
@@ -16,6 +17,7 @@
  * @property tokens the allowance of tokens on this node; null before the first request.
  * @property requestRate new requests a second on this node.
  * @property tokenRate tokens a second on this node.
+ * @property offeredRate seconds of work that arrive in a second on this node, admitted or not.
  */
 public data class OrganisationState(
     val limits: OrganisationLimits = OrganisationLimits(),
@@ -26,6 +28,7 @@
     val tokens: TokenBucket? = null,
     val requestRate: DecayingRate = NO_RATE,
     val tokenRate: DecayingRate = NO_RATE,
+    val offeredRate: DecayingRate = NO_RATE,
 ) {
     /** Requests of this node that wait or run. */
     val concurrent: Int
@@ -40,6 +43,7 @@
         requestsPerSecond = requestRate.at(now),
         concurrent = concurrent,
         tokensPerMinute = tokenRate.at(now) * SECONDS_PER_MINUTE,
+        offered = offeredRate.at(now),
     )
 
     /** Returns the new requests a second that this node may take, with [nodes] live nodes. */
@@ -55,6 +59,10 @@
     internal fun generationShare(nodes: Int): Double =
         nodeShare(limits.concurrentGenerations.toDouble(), nodes, heard.concurrent.toDouble())
 
+    /** Returns this organisation after work of [duration] arrived at [now]. */
+    internal fun offered(duration: Duration, now: Duration): OrganisationState =
+        copy(offeredRate = offeredRate.plus(duration.toDouble(DurationUnit.SECONDS), now))
+
     /** Returns this organisation with allowances refilled up to [now]. */
     internal fun refilled(nodes: Int, now: Duration): OrganisationState {
         val requestShare = requestShare(nodes)
--- a/library/src/main/kotlin/org/bilberrycart/routing/Chooser.kt
+++ b/library/src/main/kotlin/org/bilberrycart/routing/Chooser.kt
@@ -6,6 +6,7 @@
 import org.bilberrycart.model.Isolation
 import org.bilberrycart.model.Placement
 import org.bilberrycart.model.RequestClass
+import org.bilberrycart.model.UpstreamId
 
 /** The result of a search for an upstream. */
 internal sealed class Choice {
@@ -30,6 +31,12 @@
     private val routing = state.routingOf(placement.request.service)
     private val reserved = reservedShare()
 
+    /** Where work may run alone: other nodes must not choose the same upstream meanwhile. */
+    private val own: List<UpstreamId> by lazy {
+        pool.home.filter { state.upstreams.getValue(it).isServing }
+            .ifEmpty { pool.local + pool.remote }
+    }
+
     fun choose(): Choice {
         val quick = if (placement.isolation == Isolation.NONE) byPolicy() else null
         if (quick != null) return Choice.Chosen(quick, nextCursor(quick))
@@ -45,26 +52,38 @@
 
     private fun byPolicy(): UpstreamState? = when (val policy = routing.policy) {
         RoutingPolicy.RoundRobin -> nextInTurn()
-        is RoutingPolicy.LeastOfRandom -> localFirst(policy.candidates)
-        is RoutingPolicy.Dedicated -> localFirst(policy.candidates)
-        is RoutingPolicy.PrefixAffinity -> holderOfPrefix(policy) ?: localFirst(policy.candidates)
+        is RoutingPolicy.LeastOfRandom -> homeFirst(policy.candidates)
+        is RoutingPolicy.Dedicated -> homeFirst(policy.candidates)
+        is RoutingPolicy.PrefixAffinity -> holderOfPrefix(policy) ?: homeFirst(policy.candidates)
     }
 
     private fun nextInTurn(): UpstreamState? = (0 until pool.size).firstNotNullOfOrNull { step ->
         at((pool.cursor + step) % pool.size).takeIf(::isOpen)
     }
 
+    private fun homeFirst(candidates: Int): UpstreamState? {
+        val home = sample(pool.home, candidates)
+        if (home != null && relativeLoad(home) < routing.spillAt) return home
+        val other = localFirst(candidates)
+        return when {
+            home == null -> other
+            other == null -> home
+            relativeLoad(other) + UNSURE_SHARE < relativeLoad(home) -> other
+            else -> home
+        }
+    }
+
     private fun localFirst(candidates: Int): UpstreamState? {
-        val local = sample(0, pool.local.size, candidates)
+        val local = sample(pool.local, candidates)
         if (local != null && relativeLoad(local) < routing.spillAt) return local
-        val remote = sample(pool.local.size, pool.remote.size, candidates)
+        val remote = sample(pool.remote, candidates)
         return listOfNotNull(local, remote).minByOrNull(::relativeLoad)
     }
 
-    private fun sample(from: Int, count: Int, candidates: Int): UpstreamState? {
-        if (count == 0) return null
+    private fun sample(ids: List<UpstreamId>, candidates: Int): UpstreamState? {
+        if (ids.isEmpty()) return null
         return (0 until candidates)
-            .map { at(from + random.nextInt(count)) }
+            .map { state.upstreams.getValue(ids[random.nextInt(ids.size)]) }
             .filter(::isOpen)
             .minByOrNull(::relativeLoad)
     }
@@ -72,7 +91,8 @@
     private fun holderOfPrefix(policy: RoutingPolicy.PrefixAffinity): UpstreamState? {
         val request = placement.request as? GenerationRequest ?: return null
         val prefix = request.prompt.take(PREFIX_CHARACTERS).hashCode()
-        val members = (0 until pool.size).map(::at).filter { it.isServing }
+        val ids = pool.home.ifEmpty { pool.local + pool.remote }
+        val members = ids.map { state.upstreams.getValue(it) }.filter { it.isServing }
         val mean = members.sumOf(::relativeLoad) / members.size.coerceAtLeast(1)
         val holder = members.filter(::isPreferred).maxByOrNull { score(prefix, it) }
         return holder?.takeIf {
@@ -82,12 +102,12 @@
 
     private fun leastLoaded(open: List<UpstreamState>): UpstreamState {
         val fewest = open.minOf { it.suspects }
-        val apart = if (placement.isolation == Isolation.APART) {
-            open.filter { it.suspects == fewest }
-        } else {
-            open
+        val fit = when (placement.isolation) {
+            Isolation.NONE -> open
+            Isolation.APART -> open.filter { it.suspects == fewest }
+            Isolation.ALONE -> open
         }
-        return (0..1).map { apart[random.nextInt(apart.size)] }.minBy(::relativeLoad)
+        return (0..1).map { fit[random.nextInt(fit.size)] }.minBy(::relativeLoad)
     }
 
     private fun at(index: Int): UpstreamState = state.upstreams.getValue(pool[index])
@@ -106,20 +126,31 @@
 
     private fun hasRoom(candidate: UpstreamState): Boolean {
         if (candidate.isFull(now)) return false
-        if (placement.isolation == Isolation.ALONE) return candidate.load == 0
-        if (candidate.isClosed(now)) return false
-        val limit = candidate.capacity(now) * (1 - reserved)
+        val isClosed = candidate.isClosed(now)
+        if (placement.isolation == Isolation.ALONE) {
+            val isTaken = isClosed && candidate.isClosedByOther
+            return candidate.load == 0 && !isTaken && candidate.upstream.id in own
+        }
+        if (isClosed) return false
+        val limit = candidate.capacity(now) * (1 - reserved - unsureShare(candidate))
         val whole = limit.toInt()
         val part = score(0, candidate).toUInt().toDouble() / UInt.MAX_VALUE.toDouble()
         return candidate.load < if (part < limit - whole) whole + 1 else whole
     }
 
+    private fun unsureShare(candidate: UpstreamState): Double {
+        val isSure = pool.home.isEmpty() || candidate.upstream.id in pool.home
+        return if (isSure || placement.isResume) 0.0 else UNSURE_SHARE
+    }
+
     private fun relativeLoad(candidate: UpstreamState): Double =
         candidate.load / candidate.capacity(now)
 
     private fun reservedShare(): Double = when {
         placement.isResume -> 0.0
 
+        routing.policy is RoutingPolicy.Dedicated -> routing.resumeReserve
+
         placement.request.requestClass == RequestClass.LONG_DRAFT ->
             minOf(1.0, routing.resumeReserve + routing.shortReserve)
 
@@ -128,5 +159,8 @@
 
     private companion object {
         const val PREFIX_CHARACTERS = 256
+
+        /** How far the load of an upstream that other nodes prefer may be off, as a share. */
+        const val UNSURE_SHARE = 0.25
     }
 }
--- a/library/src/main/kotlin/org/bilberrycart/routing/Configuration.kt
+++ b/library/src/main/kotlin/org/bilberrycart/routing/Configuration.kt
@@ -18,11 +18,9 @@
     val next = members.mapValues { (key, ids) -> poolOf(pools[key] ?: Pool(), ids, event) }
     val orphaned = pools.filter { (key, pool) -> key !in members && pool.waiting.isNotEmpty() }
         .mapValues { (_, pool) -> pool.copy(local = NONE, remote = NONE, cursor = 0) }
-    return copy(
-        services = services,
-        pools = (next + orphaned).toPersistentHashMap(),
-        upstreams = upstreamsOf(event, members),
-    )
+    val declared = copy(services = services, upstreams = upstreamsOf(event, members))
+    val pools = (next + orphaned).mapValues { (key, pool) -> declared.withHome(key, pool) }
+    return declared.copy(pools = pools.toPersistentHashMap())
 }
 
 private val NONE = emptyList<UpstreamId>().toPersistentList()
--- a/library/src/main/kotlin/org/bilberrycart/routing/IsolatedWork.kt
+++ b/library/src/main/kotlin/org/bilberrycart/routing/IsolatedWork.kt
@@ -20,7 +20,11 @@
     val isAlone = placement.isolation == Isolation.ALONE
     val next = copy(isolated = isolated.put(placement.attempt, placement.isolation)).update(id) {
         val closedUntil = if (isAlone) Duration.INFINITE else it.closedUntil
-        it.copy(suspects = it.suspects + 1, closedUntil = closedUntil)
+        it.copy(
+            suspects = it.suspects + 1,
+            closedUntil = closedUntil,
+            isClosedByOther = it.isClosedByOther && !isAlone,
+        )
     }
     if (!isAlone) return Step(next)
     return next.withActions(RoutingAction.AnnounceClosed(id, CLOSED_LIFETIME))
@@ -48,10 +52,16 @@
     now: Duration,
 ): Step<RoutingState, RoutingAction> {
     val pool = pools[key] ?: return Step(this)
-    val members = (0 until pool.size).map { upstreams.getValue(pool[it]) }.filter { it.isServing }
-    if (members.size < 2 || members.any { it.isClosed(now) }) return Step(this)
-    val id = members.minBy { it.load }.upstream.id
-    val next = update(id) { it.copy(closedUntil = now + CLOSED_LIFETIME) }
+    val members = (0 until pool.size)
+        .map { upstreams.getValue(pool[it]) }
+        .filter { it.isServing && !(it.isClosed(now) && it.isClosedByOther) }
+    val isDraining = members.any { it.isClosed(now) && !it.isClosedByOther }
+    if (members.size < 2 || isDraining) return Step(this)
+    val near = members.filter { it.upstream.id in pool.home }.ifEmpty { members }
+    val id = near.minBy { it.load }.upstream.id
+    val next = update(id) {
+        it.copy(closedUntil = now + CLOSED_LIFETIME, isClosedByOther = false)
+    }
     return Step(next, persistentListOf(RoutingAction.AnnounceClosed(id, CLOSED_LIFETIME)))
 }
 
@@ -65,7 +75,7 @@
 internal fun RoutingState.closed(event: RoutingEvent.Closed, now: Duration): RoutingState =
     update(event.upstream) {
         val known = it.closedUntil ?: Duration.ZERO
-        it.copy(closedUntil = maxOf(known, now + event.lifetime))
+        it.copy(closedUntil = maxOf(known, now + event.lifetime), isClosedByOther = true)
     }
 
 private val CLOSED_LIFETIME = 30.seconds
--- a/library/src/main/kotlin/org/bilberrycart/routing/Pool.kt
+++ b/library/src/main/kotlin/org/bilberrycart/routing/Pool.kt
@@ -7,6 +7,8 @@
 /**
  * The upstreams of one [PoolKey] and the work that waits for them.
  *
+ * @property home the upstreams that this node prefers and few other nodes do, so that its own count
+ * of their load is nearly exact; empty if it prefers none.
  * @property local the upstreams in the data centre of the node.
  * @property remote the upstreams in other data centres.
  * @property cursor the position of [RoutingPolicy.RoundRobin].
@@ -15,6 +17,7 @@
  * @property retryBudget how many retries may be placed now.
  */
 public data class Pool(
+    val home: PersistentList<UpstreamId> = persistentListOf(),
     val local: PersistentList<UpstreamId> = persistentListOf(),
     val remote: PersistentList<UpstreamId> = persistentListOf(),
     val cursor: Int = 0,
--- a/library/src/main/kotlin/org/bilberrycart/routing/RoutingEvent.kt
+++ b/library/src/main/kotlin/org/bilberrycart/routing/RoutingEvent.kt
@@ -35,6 +35,17 @@
     /** [upstream] takes no new work until it is back with a higher [incarnation]. */
     public data class Leaving(val upstream: UpstreamId, val incarnation: Long) : RoutingEvent()
 
+    /**
+     * This node has [index] among the [count] live nodes, in the order of data centre and VM.
+     *
+     * The nodes divide the upstreams by it; it is a preference only, so views may differ a while.
+     */
+    public data class NodesChanged(val index: Int, val count: Int) : RoutingEvent() {
+        init {
+            require(index in 0 until count) { "index must be from 0 to ${count - 1}, got $index" }
+        }
+    }
+
     /** Another node drains [upstream] for work that runs alone; it is closed for [lifetime]. */
     public data class Closed(val upstream: UpstreamId, val lifetime: Duration) : RoutingEvent()
 
--- a/library/src/main/kotlin/org/bilberrycart/routing/RoutingFilter.kt
+++ b/library/src/main/kotlin/org/bilberrycart/routing/RoutingFilter.kt
@@ -29,6 +29,7 @@
         is RoutingEvent.LoadReported -> loadReported(state, event, now)
         is RoutingEvent.Configured -> placeWaiting(state.configured(event), null, now)
         is RoutingEvent.Leaving -> Step(state.leaving(event))
+        is RoutingEvent.NodesChanged -> Step(state.divided(event))
         is RoutingEvent.Closed -> Step(state.closed(event, now))
         RoutingEvent.Tick -> tick(state, now)
     }
--- a/library/src/main/kotlin/org/bilberrycart/routing/RoutingPolicy.kt
+++ b/library/src/main/kotlin/org/bilberrycart/routing/RoutingPolicy.kt
@@ -14,7 +14,7 @@
     /** The least loaded of [candidates] upstreams drawn at random, by lag-corrected load. */
     @Serializable
     @SerialName("leastOfRandom")
-    public data class LeastOfRandom(val candidates: Int = 2) : RoutingPolicy()
+    public data class LeastOfRandom(val candidates: Int = 4) : RoutingPolicy()
 
     /**
      * The upstream that is likely to hold the prompt's prefix, while its load stays under
@@ -22,7 +22,7 @@
      */
     @Serializable
     @SerialName("prefixAffinity")
-    public data class PrefixAffinity(val loadBound: Double = 1.25, val candidates: Int = 2) :
+    public data class PrefixAffinity(val loadBound: Double = 1.25, val candidates: Int = 4) :
         RoutingPolicy()
 
     /**
@@ -31,5 +31,5 @@
      */
     @Serializable
     @SerialName("dedicated")
-    public data class Dedicated(val shortShare: Double, val candidates: Int = 2) : RoutingPolicy()
+    public data class Dedicated(val shortShare: Double, val candidates: Int = 4) : RoutingPolicy()
 }
--- a/library/src/main/kotlin/org/bilberrycart/routing/RoutingState.kt
+++ b/library/src/main/kotlin/org/bilberrycart/routing/RoutingState.kt
@@ -15,6 +15,8 @@
  *
  * @property dataCentre the data centre of this node.
  * @property seed the seed of the next random choice.
+ * @property nodeIndex the position of this node among the live nodes.
+ * @property nodeCount the number of live nodes.
  * @property attempts the attempts in flight and where each of them runs.
  * @property isolated the attempts in flight that keep away from other work.
  * @property left upstreams that are known to leave, by the incarnation that leaves.
@@ -23,6 +25,8 @@
 public data class RoutingState(
     val dataCentre: DataCentreId,
     val seed: Long,
+    val nodeIndex: Int = 0,
+    val nodeCount: Int = 1,
     val upstreams: PersistentMap<UpstreamId, UpstreamState> = persistentHashMapOf(),
     val services: PersistentMap<ServiceId, ServiceRouting> = persistentHashMapOf(),
     val pools: PersistentMap<PoolKey, Pool> = persistentHashMapOf(),
--- a/library/src/main/kotlin/org/bilberrycart/routing/ServiceRouting.kt
+++ b/library/src/main/kotlin/org/bilberrycart/routing/ServiceRouting.kt
@@ -19,7 +19,7 @@
 @Serializable
 public data class ServiceRouting(
     val policy: RoutingPolicy = RoutingPolicy.LeastOfRandom(),
-    val shortReserve: Double = 0.1,
+    val shortReserve: Double = 0.2,
     val resumeReserve: Double = 0.05,
     val spillAt: Double = 0.8,
     val retryShare: Double = 0.2,
--- a/library/src/main/kotlin/org/bilberrycart/routing/UpstreamState.kt
+++ b/library/src/main/kotlin/org/bilberrycart/routing/UpstreamState.kt
@@ -20,6 +20,7 @@
  * @property ejectionsInRow ejections since the last attempt completed.
  * @property suspects attempts of this node that it runs and that may crash it.
  * @property closedUntil until when only work that runs alone may enter; null if it is open.
+ * @property isClosedByOther whether another node closed it; then no work of this node enters.
  * @property fullUntil when it may be tried again after it refused work; null if it did not.
  * @property returnsAt when its last ejection or start ends; slow start follows.
  */
@@ -36,6 +37,7 @@
     val ejectionsInRow: Int = 0,
     val suspects: Int = 0,
     val closedUntil: Duration? = null,
+    val isClosedByOther: Boolean = false,
     val fullUntil: Duration? = null,
     val returnsAt: Duration? = null,
 ) {
--- a/library/src/main/kotlin/org/bilberrycart/suspect/SuspectEvent.kt
+++ b/library/src/main/kotlin/org/bilberrycart/suspect/SuspectEvent.kt
@@ -25,6 +25,9 @@
     /** [upstream] gave notice that it leaves; its end is no sign against the work it runs. */
     public data class Leaving(val upstream: UpstreamId) : SuspectEvent()
 
+    /** [upstream] answers again after it died. */
+    public data class Returned(val upstream: UpstreamId) : SuspectEvent()
+
     /** Another node knows that [fingerprint] was on [deaths] upstreams, for [lifetime] more. */
     public data class SuspectHeard(
         val fingerprint: Fingerprint,
--- a/library/src/main/kotlin/org/bilberrycart/suspect/SuspectFilter.kt
+++ b/library/src/main/kotlin/org/bilberrycart/suspect/SuspectFilter.kt
@@ -19,8 +19,9 @@
  * Keeps requests that crash upstreams from crashing more of them.
  *
  * Work in flight on an upstream that died without notice is suspect. Suspects are resumed apart
- * from each other; after the second death one runs alone on an upstream; after the third it is
- * refused. A suspect that completes is cleared. Of a suspect, one copy at a time is in flight.
+ * from each other; after the second death one runs alone on an upstream; after the third, which it
+ * was alone on, it is refused. A suspect that completes is cleared. Of a suspect, one copy at a
+ * time is in flight.
  */
 public class SuspectFilter : Filter<SuspectState, SuspectEvent, SuspectAction> {
     override fun step(
@@ -28,10 +29,11 @@
         event: SuspectEvent,
         now: Duration,
     ): Step<SuspectState, SuspectAction> = when (event) {
-        is SuspectEvent.Place -> place(state, event.placement)
+        is SuspectEvent.Place -> place(state, event.placement, now)
         is SuspectEvent.AttemptEnded -> attemptEnded(state, event, now)
-        is SuspectEvent.NotPlaced -> notPlaced(state, event.attempt)
+        is SuspectEvent.NotPlaced -> notPlaced(state, event.attempt, now)
         is SuspectEvent.Leaving -> Step(leaving(state, event, now))
+        is SuspectEvent.Returned -> Step(state.copy(dead = state.dead.remove(event.upstream)))
         is SuspectEvent.SuspectHeard -> Step(state.heard(event, now))
         SuspectEvent.Tick -> tick(state, now)
     }
@@ -39,13 +41,14 @@
     private fun place(
         state: SuspectState,
         placement: Placement,
+        now: Duration,
     ): Step<SuspectState, SuspectAction> {
         val fingerprint = placement.request.fingerprint
         val deaths = state.deathsOf(fingerprint)
         return when {
             deaths >= REFUSED_FROM -> state.refuse(placement, ResultCode.CRASHES_UPSTREAMS)
             deaths > 0 && state.hasCopy(fingerprint) -> state.hold(placement)
-            else -> state.pass(placement, isolationAfter(deaths))
+            else -> state.pass(placement, isolationAfter(deaths), now)
         }
     }
 
@@ -54,29 +57,35 @@
         event: SuspectEvent.AttemptEnded,
         now: Duration,
     ): Step<SuspectState, SuspectAction> {
-        val fingerprint = state.inFlight[event.attempt] ?: return Step(state)
+        val attempt = state.inFlight[event.attempt] ?: return Step(state)
+        val fingerprint = attempt.fingerprint
         val over = state.copy(inFlight = state.inFlight.remove(event.attempt))
         val judged = when (val outcome = event.outcome) {
-            AttemptOutcome.Completed -> over.copy(records = over.records.remove(fingerprint))
+            AttemptOutcome.Completed -> over.copy(
+                records = over.records.remove(fingerprint),
+                dead = over.dead.remove(event.upstream),
+            )
 
             AttemptOutcome.Cancelled -> over
 
             is AttemptOutcome.Lost ->
                 if (isDeath(outcome.cause) && event.upstream !in state.leaving) {
-                    over.lost(fingerprint, event.upstream, now)
+                    over.lost(attempt, event.upstream, now)
                 } else {
                     over
                 }
         }
-        return judged.spread(setOf(fingerprint), now).then { it.releaseHeld(fingerprint) }
+        return judged.spread(setOf(fingerprint), now).then { it.releaseHeld(fingerprint, now) }
     }
 
     private fun notPlaced(
         state: SuspectState,
         attempt: AttemptId,
+        now: Duration,
     ): Step<SuspectState, SuspectAction> {
-        val fingerprint = state.inFlight[attempt] ?: return Step(state.withoutHeld(attempt))
-        return state.copy(inFlight = state.inFlight.remove(attempt)).releaseHeld(fingerprint)
+        val held = state.inFlight[attempt] ?: return Step(state.withoutHeld(attempt))
+        return state.copy(inFlight = state.inFlight.remove(attempt))
+            .releaseHeld(held.fingerprint, now)
     }
 
     private fun leaving(state: SuspectState, event: SuspectEvent.Leaving, now: Duration) =
@@ -87,15 +96,13 @@
         return kept.spread(kept.records.keys, now).then { it.refuseLate(now) }
     }
 
-    private fun place(placement: Placement): (SuspectState) -> Step<SuspectState, SuspectAction> =
-        { place(it, placement) }
-
     private fun SuspectState.releaseHeld(
         fingerprint: Fingerprint,
+        now: Duration,
     ): Step<SuspectState, SuspectAction> {
         val waiting = held[fingerprint] ?: return Step(this)
         val start: Step<SuspectState, SuspectAction> = Step(copy(held = held.remove(fingerprint)))
-        return waiting.fold(start) { step, placement -> step.then(place(placement)) }
+        return waiting.fold(start) { step, item -> step.then { place(it, item, now) } }
     }
 }
 
@@ -115,14 +122,18 @@
 }
 
 private fun SuspectState.hasCopy(fingerprint: Fingerprint): Boolean =
-    inFlight.values.any { it == fingerprint }
+    inFlight.values.any { it.fingerprint == fingerprint }
 
 private fun SuspectState.pass(
     placement: Placement,
     isolation: Isolation,
-): Step<SuspectState, SuspectAction> =
-    copy(inFlight = inFlight.put(placement.attempt, placement.request.fingerprint))
+    now: Duration,
+): Step<SuspectState, SuspectAction> {
+    val isAlone = isolation == Isolation.ALONE
+    val attempt = SuspectAttempt(placement.request.fingerprint, now, isAlone)
+    return copy(inFlight = inFlight.put(placement.attempt, attempt))
         .withActions(SuspectAction.Place(placement.copy(isolation = isolation)))
+}
 
 private fun SuspectState.refuse(
     placement: Placement,
--- a/library/src/main/kotlin/org/bilberrycart/suspect/SuspectState.kt
+++ b/library/src/main/kotlin/org/bilberrycart/suspect/SuspectState.kt
@@ -19,20 +19,34 @@
  * @property inFlight the attempts that were passed on and are not over.
  * @property held placements of a suspect that wait for a copy of it in flight to end.
  * @property recentDeaths upstreams that died within the last seconds.
+ * @property dead upstreams that died and have not answered since, and when they died.
  * @property leaving upstreams that gave notice, until when that is remembered.
  */
 public data class SuspectState(
     val records: PersistentMap<Fingerprint, SuspectRecord> = persistentHashMapOf(),
-    val inFlight: PersistentMap<AttemptId, Fingerprint> = persistentHashMapOf(),
+    val inFlight: PersistentMap<AttemptId, SuspectAttempt> = persistentHashMapOf(),
     val held: PersistentMap<Fingerprint, PersistentList<Placement>> = persistentMapOf(),
     val recentDeaths: PersistentMap<UpstreamId, UpstreamDeath> = persistentMapOf(),
+    val dead: PersistentMap<UpstreamId, Duration> = persistentMapOf(),
     val leaving: PersistentMap<UpstreamId, Duration> = persistentMapOf(),
 ) {
     /** Returns on how many upstreams that died [fingerprint] was, as far as is known. */
     public fun deathsOf(fingerprint: Fingerprint): Int = records[fingerprint]?.deaths ?: 0
 
-    /** Returns this state after [fingerprint] was lost with [upstream], which gave no notice. */
-    internal fun lost(fingerprint: Fingerprint, upstream: UpstreamId, now: Duration): SuspectState {
+    /** Returns this state after [attempt] was lost with [upstream], which gave no notice. */
+    internal fun lost(attempt: SuspectAttempt, upstream: UpstreamId, now: Duration): SuspectState {
+        val diedAt = dead[upstream] ?: now
+        if (attempt.passedAt > diedAt) return this
+        return copy(dead = dead.put(upstream, diedAt))
+            .lostWith(upstream, attempt, now)
+    }
+
+    private fun lostWith(
+        upstream: UpstreamId,
+        attempt: SuspectAttempt,
+        now: Duration,
+    ): SuspectState {
+        val fingerprint = attempt.fingerprint
         val recent = recentDeaths.values.fold(recentDeaths) { kept, death ->
             if (now - death.at <= MASS_WINDOW) kept else kept.without(death)
         }
@@ -43,9 +57,9 @@
         val wasMass = recent.size >= MASS_DEATHS
         val isMass = next.recentDeaths.size >= MASS_DEATHS
         return when {
-            isMass && !wasMass -> next.counted(fingerprint, now).withoutSingles()
+            isMass && !wasMass -> next.counted(attempt, now).withoutSingles()
             isMass && next.sightings(fingerprint) < 2 -> next
-            else -> next.counted(fingerprint, now)
+            else -> next.counted(attempt, now)
         }
     }
 
@@ -60,6 +74,7 @@
     /** Returns this state without what is out of date at [now]. */
     internal fun expired(now: Duration): SuspectState = copy(
         records = records.filterOut { it.expiresAt <= now },
+        dead = dead.filterOut { now - it > DEAD_MEMORY },
         leaving = leaving.filterOut { it <= now },
     )
 
@@ -72,10 +87,13 @@
         }
     }
 
-    private fun counted(fingerprint: Fingerprint, now: Duration): SuspectState {
+    /** Counts a death; only one that it ran alone on is proof, and counts beyond the second. */
+    private fun counted(attempt: SuspectAttempt, now: Duration): SuspectState {
+        val fingerprint = attempt.fingerprint
         val known = records[fingerprint]
+        val before = deathsOf(fingerprint)
         val record = SuspectRecord(
-            deaths = deathsOf(fingerprint) + 1,
+            deaths = if (attempt.isAlone) before + 1 else maxOf(before, minOf(before + 1, 2)),
             spreadDeaths = known?.spreadDeaths ?: 0,
             changedAt = now,
             expiresAt = now + LIFETIME,
@@ -97,6 +115,7 @@
     internal companion object {
         val LIFETIME = 10.minutes
         val MASS_WINDOW = 2.seconds
+        val DEAD_MEMORY = 1.minutes
         const val MASS_DEATHS = 3
         const val RECORD_LIMIT = 4_096
     }
--- a/library/src/test/kotlin/org/bilberrycart/routing/RoutingPolicyTest.kt
+++ b/library/src/test/kotlin/org/bilberrycart/routing/RoutingPolicyTest.kt
@@ -50,6 +50,11 @@
 
 private val TWO_CENTRES = listOf(engine("here", slots = 10), engine("there", 10, ELSEWHERE))
 
+private val HOMES = listOf(
+    0 to setOf("e0", "e1", "e10", "e11"),
+    3 to setOf("e6", "e7", "e8", "e9"),
+)
+
 private val PAIR = RoutingPolicy.LeastOfRandom()
 
 class RoutingPolicyTest :
@@ -199,6 +204,29 @@
                 listOf(2.0, 4.0, 8.0)
         }
 
+        context("a node prefers its own part of the upstreams") {
+            val routing = PLAIN.copy(policy = PAIR)
+            withData(nameFn = { (index, part) ->
+                "node $index prefers $part"
+            }, HOMES) { (at, part) ->
+                val run = RoutingRun(*fleet(16, slots = 4).toTypedArray(), routing = routing)
+                run.step(RoutingEvent.NodesChanged(at, count = 4))
+                places(12).forEach(run::step)
+                run.loads().filterValues { it > 0 }.keys shouldBe part
+            }
+        }
+
+        test("a node without room in its part uses only upstreams that surely have room") {
+            val run = RoutingRun(
+                *fleet(16, slots = 4).toTypedArray(),
+                routing = PLAIN.copy(policy = PAIR),
+            )
+            run.step(RoutingEvent.NodesChanged(index = 0, count = 4))
+            places(80).forEach(run::step)
+            run.loads().filterValues { it == 4 }.keys shouldBe HOMES.first().second
+            run.loads().values.count { it == 3 } shouldBe 12
+        }
+
         test("retries stop when they are more than the budget") {
             val run = RoutingRun(engine("a", slots = 40), routing = PLAIN.copy(retryShare = 0.5))
             repeat(40) { run.step(place("r$it", number = 2)) }
@@ -220,6 +248,8 @@
             val lost = homes.filterValues { it in dead }
             lost.forEach { (request, on) ->
                 run.step(ended(request, on, AttemptOutcome.Lost(LossCause.GONE)))
+            }
+            lost.forEach { (request, on) ->
                 run.step(place(request, number = 2, avoid = setOf(on)))
             }
             val left = run.loads().filterKeys { it !in dead }.values
--- a/library/src/test/kotlin/org/bilberrycart/suspect/SuspectFilterTest.kt
+++ b/library/src/test/kotlin/org/bilberrycart/suspect/SuspectFilterTest.kt
@@ -5,6 +5,7 @@
 import io.kotest.engine.names.WithDataTestName
 import io.kotest.matchers.shouldBe
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 import org.bilberrycart.model.AttemptId
@@ -71,6 +72,7 @@
     var now = Duration.ZERO
 
     fun step(event: SuspectEvent): List<String> {
+        now += 1.milliseconds
         val step = filter.step(state, event, now)
         state = step.state
         return step.actions.map {
@@ -149,11 +151,37 @@
                         listOf(place("k", 3), done("k", 3, "e3"), place("k", 1, request = "n")),
                     listOf("k:NONE", "k:APART", "k~2", "k:ALONE", "n:NONE"),
                 ),
+                SuspectCase(
+                    "deaths beside other work are no proof",
+                    listOf(place("a", 1), place("a", 1, request = "a2"), place("a", 1, "a3")) +
+                        listOf(lost("a", 1, "e1"), lost("a2", 1, "e2"), lost("a3", 1, "e3")) +
+                        place("a", 2),
+                    listOf("a:NONE", "a2:NONE", "a3:NONE", "a~2", "a:ALONE"),
+                ),
                 SuspectCase(
                     "an upstream that gave notice is no sign",
                     listOf(SuspectEvent.Leaving(UpstreamId("e1"))) + die("k", 1) + place("k", 2),
                     listOf("k:NONE", "k:NONE"),
                 ),
+                SuspectCase(
+                    "work sent to an engine that was dead already is no sign",
+                    die("k", 1) + listOf(
+                        place("a", 1),
+                        lost("a", 1, "e1"),
+                        place("a", 2),
+                    ),
+                    listOf("k:NONE", "a:NONE", "a:NONE"),
+                ),
+                SuspectCase(
+                    "work on an engine that died again after its return is suspect",
+                    die("k", 1) + listOf(
+                        SuspectEvent.Returned(UpstreamId("e1")),
+                        place("a", 1),
+                        lost("a", 1, "e1"),
+                        place("a", 2),
+                    ),
+                    listOf("k:NONE", "a:NONE", "a:APART"),
+                ),
                 SuspectCase(
                     "refused work is no sign",
                     listOf(
