Add the load command

Change: bench.traffic makes a seeded open-loop load and checks each answer's tokens; engines of the same process tell when they write a token (TokenObserver), so that transit and resume times are exact; bench.fleet starts engines and nodes; bench.load holds the four measurements; `load` runs them and exits 1 if a token was missing, repeated or foreign.

--- /dev/null
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/LoadTable.kt
@@ -0,0 +1,45 @@
+package org.bilberrycart.daemon
+
+import org.bilberrycart.bench.load.LatencyReport
+import org.bilberrycart.bench.load.LoadReport
+
+/** The report of a load as CSV lines for people and spreadsheets. */
+internal object LoadTable {
+    /** Returns the header and one line for each figure. */
+    fun lines(report: LoadReport): List<String> = listOf(HEADER) +
+        (listOfNotNull(report.latency) + report.saturation).flatMap(::latency) +
+        listOfNotNull(report.footprint).flatMap {
+            listOf(
+                "footprint,${it.node.openStreams} streams,threads of the node,${it.nodeThreads}",
+                "footprint,${it.node.openStreams} streams,heap of the node MB," +
+                    it.nodeHeapMegabytes.shown(),
+            )
+        } +
+        report.resume.flatMap {
+            val load = "${it.kind} x ${it.losses}"
+            listOf(
+                "resume,$load,p50 ms,${it.resume.p50.shown()}",
+                "resume,$load,p99 ms,${it.resume.p99.shown()}",
+                "resume,$load,max ms,${it.resume.max.shown()}",
+                "resume,$load,resumed streams,${it.resume.count}",
+                "resume,$load,broken answers,${it.totals.broken.values.sum()}",
+            )
+        }
+
+    private fun latency(report: LatencyReport): List<String> {
+        val load = "${report.offeredTokensPerSecond} tokens/s"
+        return listOf(
+            "latency,$load,added p50 ms,${report.added.p50.shown()}",
+            "latency,$load,added p99 ms,${report.added.p99.shown()}",
+            "latency,$load,added max ms,${report.added.max.shown()}",
+            "latency,$load,direct p99 ms,${report.direct.transit.p99.shown()}",
+            "latency,$load,node p99 ms,${report.node.transit.p99.shown()}",
+            "latency,$load,direct tokens/s,${report.direct.tokensPerSecond.shown()}",
+            "latency,$load,node tokens/s,${report.node.tokensPerSecond.shown()}",
+        )
+    }
+
+    private fun Double.shown(): String = "%.3f".format(this)
+
+    private const val HEADER = "measurement,load,figure,value"
+}
--- a/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
@@ -15,6 +15,7 @@
         ServeCommand(),
         TryCommand(),
         ConfigCommand(),
+        LoadCommand(),
         StandInCommand().subcommands(StandInEngineCommand(), StandInServiceCommand()),
     )
     .main(args)
--- a/standins/src/main/kotlin/org/bilberrycart/standins/engine/EngineHttp.kt
+++ b/standins/src/main/kotlin/org/bilberrycart/standins/engine/EngineHttp.kt
@@ -30,6 +30,7 @@
     private val mailboxes: Mailboxes<EngineReply>,
     private val gate: HangGate,
     private val clock: Clock,
+    private val observer: TokenObserver,
     private val state: () -> EngineState,
 ) {
     /** Returns the handler of all paths. */
@@ -71,7 +72,7 @@
         return when (val reply = ring.takeAll(limit = 1).firstOrNull()) {
             is EngineReply.Accepted -> {
                 val pass = { gate.pass(request.connection) }
-                val body = StreamBody(ring, reply.source, pass) { leave(reader) }
+                val body = StreamBody(ring, reply.source, observer, pass) { leave(reader) }
                 Response(Status.OK)
                     .header("Content-Type", "text/event-stream")
                     .header("Cache-Control", "no-cache")
--- a/standins/src/main/kotlin/org/bilberrycart/standins/engine/EngineStandIn.kt
+++ b/standins/src/main/kotlin/org/bilberrycart/standins/engine/EngineStandIn.kt
@@ -8,7 +8,10 @@
 import org.bilberrycart.standins.pipeline.TimedDuty
 
 /** An emulated model engine that serves its HTTP protocol on loopback. */
-class EngineStandIn(val settings: EngineSettings = EngineSettings()) : AutoCloseable {
+class EngineStandIn(
+    val settings: EngineSettings = EngineSettings(),
+    observer: TokenObserver = TokenObserver.None,
+) : AutoCloseable {
     private val clock = Clock()
     private val mailboxes = Mailboxes<EngineReply>(MAILBOX_CAPACITY)
     private val ring = Ring<EngineEvent>("engine", RING_CAPACITY)
@@ -22,7 +25,7 @@
     )
     private val host: StandInHost = StandInHost(
         HostAddress(settings.host, settings.port, settings.controlPort, settings.threads),
-    ) { gate -> EngineHttp(ring, mailboxes, gate, clock) { duty.snapshot }.handler() }
+    ) { gate -> EngineHttp(ring, mailboxes, gate, clock, observer) { duty.snapshot }.handler() }
 
     /** The port that serves the protocol. */
     val port: Int
--- a/standins/src/main/kotlin/org/bilberrycart/standins/engine/StreamBody.kt
+++ b/standins/src/main/kotlin/org/bilberrycart/standins/engine/StreamBody.kt
@@ -14,11 +14,13 @@
 internal class StreamBody(
     private val ring: Ring<EngineReply>,
     private val source: TokenSource,
+    private val observer: TokenObserver,
     private val pass: () -> Unit,
     private val onClose: () -> Unit,
 ) : InputStream() {
     private var pending = ": accepted\n\n".toByteArray()
     private var position = 0
+    private var unwritten: List<EngineReply> = emptyList()
 
     override fun read(): Int {
         val one = ByteArray(1)
@@ -28,6 +30,7 @@
     override fun read(target: ByteArray, offset: Int, length: Int): Int {
         if (position == pending.size && !refill()) return -1
         pass()
+        observe()
         val count = minOf(length, pending.size - position)
         pending.copyInto(target, offset, position, position + count)
         position += count
@@ -37,13 +40,20 @@
     override fun close() = onClose()
 
     private fun refill(): Boolean {
-        val replies = ring.takeAll()
-        if (replies.isEmpty()) return false
-        pending = replies.joinToString("", transform = ::encode).toByteArray()
+        unwritten = ring.takeAll()
+        if (unwritten.isEmpty()) return false
+        pending = unwritten.joinToString("", transform = ::encode).toByteArray()
         position = 0
         return pending.isNotEmpty() || refill()
     }
 
+    private fun observe() {
+        unwritten.forEach { reply ->
+            if (reply is EngineReply.Tokens) observer.written(source, reply.from, reply.until)
+        }
+        unwritten = emptyList()
+    }
+
     private fun encode(reply: EngineReply): String = when (reply) {
         is EngineReply.Accepted, EngineReply.Done -> ""
         is EngineReply.Tokens -> (reply.from until reply.until).joinToString(
