--- a/bench/src/main/kotlin/org/bilberrycart/bench/pipeline/PipelineRun.kt
+++ b/bench/src/main/kotlin/org/bilberrycart/bench/pipeline/PipelineRun.kt
@@ -25,6 +25,7 @@
 import org.bilberrycart.node.Pipeline
 import org.bilberrycart.node.PipelineFilters
 import org.bilberrycart.node.PipelinePorts
+import org.bilberrycart.node.VersionListener
 import org.bilberrycart.peer.PeerEvent
 import org.bilberrycart.pipeline.Clock
 import org.bilberrycart.pipeline.Ring
@@ -74,6 +75,9 @@
     override fun upstreams(output: UpstreamOutput): Sink<DispatchAction> =
         FakeEngines(random, output, watch).also { engines = it }
 
+    override val versions: VersionListener
+        get() = VersionListener {}
+
     override fun peers(inbound: Ring<PeerEvent>): PeerPort {
         val self = Member(fleet.node.vm, LOOPBACK, port = 1, fleet.node.dataCentre)
         return PeerPort(self) {}
--- a/library/src/main/kotlin/org/bilberrycart/node/ForwardSinks.kt
+++ b/library/src/main/kotlin/org/bilberrycart/node/ForwardSinks.kt
@@ -17,6 +17,7 @@
 import org.bilberrycart.model.ResultCode
 import org.bilberrycart.model.ServiceCall
 import org.bilberrycart.model.Upstream
+import org.bilberrycart.news.NewsEvent
 import org.bilberrycart.pipeline.Clock
 import org.bilberrycart.pipeline.Sink
 import org.bilberrycart.platform.PlatformEvent
@@ -88,7 +89,7 @@
         when (action) {
             is SuspectAction.Place -> rings.routing.put(RoutingEvent.Place(action.placement))
             is SuspectAction.Refuse -> unplaceable(action.attempt, action.request, action.code)
-            is SuspectAction.Spread -> Unit
+            is SuspectAction.Spread -> rings.news.put(NewsEvent.EngineLost(action.fingerprint))
         }
     }
 
@@ -125,6 +126,7 @@
             is HealthAction.Leaving -> {
                 rings.dispatch.put(DispatchEvent.Leaving(action.upstream))
                 rings.suspect.put(SuspectEvent.Leaving(action.upstream))
+                rings.news.put(NewsEvent.UpstreamLeaving(action.upstream, action.incarnation))
                 rings.routing.put(RoutingEvent.Leaving(action.upstream, action.incarnation))
             }
             is HealthAction.Returned -> rings.dispatch.put(DispatchEvent.Returned(action.upstream))
--- a/library/src/main/kotlin/org/bilberrycart/node/NetworkPorts.kt
+++ b/library/src/main/kotlin/org/bilberrycart/node/NetworkPorts.kt
@@ -32,6 +32,9 @@
     /** The platform side of the node; null for a node without a platform. */
     val control: NodeControl? = settings.platform?.let { NodeControl(settings, it, clock) }
 
+    override val versions: VersionListener
+        get() = VersionListener { control?.hear(it) }
+
     private var opened: List<AutoCloseable> = listOfNotNull(control)
 
     override fun store(results: (StoreContext, StoreResult) -> Unit): Sink<PlatformEvent.Call> =
--- a/library/src/main/kotlin/org/bilberrycart/node/Node.kt
+++ b/library/src/main/kotlin/org/bilberrycart/node/Node.kt
@@ -70,7 +70,12 @@
         pipeline.start()
         configure(settings.fleet)
         control?.start(
-            NodeControl.Users(pipeline::idempotency, pipeline::storeResult, ::configure),
+            NodeControl.Users(
+                idempotency = pipeline::idempotency,
+                verdict = pipeline::storeResult,
+                configure = ::configure,
+                announce = pipeline::announce,
+            ),
         )
         pipeline.discover(settings.node.seeds.map { PeerAddress(it.address, it.port) })
         ticker.start()
--- a/library/src/main/kotlin/org/bilberrycart/node/NodeControl.kt
+++ b/library/src/main/kotlin/org/bilberrycart/node/NodeControl.kt
@@ -3,6 +3,7 @@
 import java.util.concurrent.atomic.AtomicReference
 import kotlinx.collections.immutable.toPersistentMap
 import org.bilberrycart.configuration.ConfigurationDocument
+import org.bilberrycart.configuration.ConfigurationEvent
 import org.bilberrycart.idempotency.IdempotencyEvent
 import org.bilberrycart.model.VmId
 import org.bilberrycart.orders.OrdersEvent
@@ -32,6 +33,7 @@
         val idempotency: (IdempotencyEvent) -> Unit,
         val verdict: (VerdictStore.Context, StoreResult) -> Unit,
         val configure: (FleetSettings) -> Unit,
+        val announce: (Long) -> Unit,
     )
 
     @Volatile private var isConfigured = false
@@ -56,6 +58,11 @@
         duties.start()
     }
 
+    /** Hears that another node has [version] in force. */
+    fun hear(version: Long) {
+        duties.rings.configuration.offer(ConfigurationEvent.VersionAccepted(version))
+    }
+
     /** Puts a call to the platform's table into its ring. */
     fun submit(call: PlatformEvent.Call) {
         duties.rings.platform.put(call)
@@ -81,7 +88,7 @@
         }
     }
 
-    override fun announce(version: Long): Unit = Unit
+    override fun announce(version: Long): Unit = users.get().announce(version)
 
     override fun askPeer(peer: VmId): Unit = Unit
 
--- a/library/src/main/kotlin/org/bilberrycart/node/NodeDuties.kt
+++ b/library/src/main/kotlin/org/bilberrycart/node/NodeDuties.kt
@@ -13,6 +13,8 @@
 import org.bilberrycart.membership.Member
 import org.bilberrycart.membership.MembershipFilter
 import org.bilberrycart.membership.MembershipState
+import org.bilberrycart.news.NewsFilter
+import org.bilberrycart.news.NewsState
 import org.bilberrycart.peer.PeerEvent
 import org.bilberrycart.pipeline.Clock
 import org.bilberrycart.pipeline.Duty
@@ -126,6 +128,13 @@
         filter = MembershipFilter(),
         sink = peers::membership,
     )
+    val news = duty(
+        name = "news",
+        ring = rings.news,
+        initial = NewsState(self, seed = seed),
+        filter = NewsFilter(),
+        sink = peers::news,
+    )
     private val inbound = duty(
         name = "inbound",
         ring = rings.inbound,
@@ -139,7 +148,7 @@
         journal,
         replication,
         release,
-        listOf(takeover, health, membership, inbound),
+        listOf(takeover, health, membership, news, inbound),
     ).flatten()
 
     private fun <S : Any, E : Any, A : Any> shards(
--- a/library/src/main/kotlin/org/bilberrycart/node/NodeRings.kt
+++ b/library/src/main/kotlin/org/bilberrycart/node/NodeRings.kt
@@ -9,6 +9,7 @@
 import org.bilberrycart.model.AttemptId
 import org.bilberrycart.model.AttemptOutcome
 import org.bilberrycart.model.UpstreamId
+import org.bilberrycart.news.NewsEvent
 import org.bilberrycart.peer.PeerEvent
 import org.bilberrycart.pipeline.Ring
 import org.bilberrycart.pipeline.RingStats
@@ -45,11 +46,12 @@
     val takeover = Ring<TakeoverEvent>("takeover", control + REPORTS, reserve = control)
     val health = Ring<HealthEvent>("health", REPORTS)
     val membership = Ring<MembershipEvent>("membership", REPORTS)
+    val news = Ring<NewsEvent>("news", REPORTS)
     val inbound = Ring<PeerEvent>("inbound", TOKENS)
 
     private val all: List<Ring<*>> = listOf(admission, idempotency, suspect, routing, dispatch) +
         journal.rings + replication.rings + release.rings +
-        listOf(takeover, health, membership, inbound)
+        listOf(takeover, health, membership, news, inbound)
 
     /** Tells routing and the suspect filter that [attempt] on [upstream] is over. */
     fun attemptEnded(attempt: AttemptId, upstream: UpstreamId, outcome: AttemptOutcome) {
--- a/library/src/main/kotlin/org/bilberrycart/node/PeerSinks.kt
+++ b/library/src/main/kotlin/org/bilberrycart/node/PeerSinks.kt
@@ -1,11 +1,22 @@
 package org.bilberrycart.node
 
+import kotlin.time.Duration.Companion.hours
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentHashSetOf
+import org.bilberrycart.admission.AdmissionEvent
+import org.bilberrycart.admission.Usage
+import org.bilberrycart.health.HealthEvent
 import org.bilberrycart.journal.JournalEvent
 import org.bilberrycart.membership.Member
+import org.bilberrycart.membership.MemberRecord
 import org.bilberrycart.membership.MembershipAction
 import org.bilberrycart.membership.MembershipEvent
 import org.bilberrycart.metrics.MetricsEvent
 import org.bilberrycart.model.AnswerPart
+import org.bilberrycart.model.VmId
+import org.bilberrycart.news.NewsAction
+import org.bilberrycart.news.NewsEvent
+import org.bilberrycart.news.OrganisationUse
 import org.bilberrycart.peer.LinksEvent
 import org.bilberrycart.peer.PeerEvent
 import org.bilberrycart.peer.PeerMessage
@@ -18,6 +29,7 @@
 import org.bilberrycart.replication.ReplicationMessage
 import org.bilberrycart.replication.VerdictStore
 import org.bilberrycart.settings.FleetSettings
+import org.bilberrycart.suspect.SuspectEvent
 import org.bilberrycart.takeover.TakeoverAction
 import org.bilberrycart.takeover.TakeoverEvent
 
@@ -27,11 +39,13 @@
     private val rings: NodeRings,
     private val links: Sink<LinksEvent>,
     private val store: Sink<PlatformEvent.Call>,
+    private val control: VersionListener,
     private val clock: Clock,
     private val observer: NodeObserver,
     private val fleet: () -> FleetSettings,
 ) {
     private val verdicts = VerdictStore()
+    private var reachable: PersistentSet<VmId> = persistentHashSetOf()
 
     /** Hands what a peer said to the filter that it is for. */
     fun inbound(event: PeerEvent) {
@@ -49,10 +63,38 @@
                 val changed = ReplicationEvent.MemberChanged(action.record)
                 rings.replication.rings.forEach { it.put(changed) }
                 rings.takeover.put(TakeoverEvent.MemberChanged(action.record))
+                rings.news.put(NewsEvent.MemberChanged(action.record))
+                countNodes(action.record)
             }
         }
     }
 
+    private fun countNodes(record: MemberRecord) {
+        val vm = record.member.vm
+        reachable = if (record.isReachable) reachable.add(vm) else reachable.remove(vm)
+        rings.admission.put(AdmissionEvent.NodesChanged(reachable.size + 1))
+    }
+
+    fun news(action: NewsAction) {
+        when (action) {
+            is NewsAction.Send -> send(action.to, PeerMessage.News(action.message))
+            is NewsAction.UpstreamLeaving -> rings.health
+                .put(HealthEvent.LeavingHeard(action.upstream, action.incarnation))
+            is NewsAction.Crashes -> rings.suspect.put(
+                SuspectEvent.SuspectHeard(action.fingerprint, action.engines, CRASH_LIFETIME),
+            )
+            is NewsAction.NewerConfiguration -> control.versionHeard(action.version)
+            is NewsAction.FleetUse -> rings.admission
+                .put(AdmissionEvent.UsageHeard(action.use.organisation, action.use.toUsage()))
+        }
+    }
+
+    private fun OrganisationUse.toUsage() = Usage(
+        requestsPerSecond = requestsPerSecond.toDouble(),
+        concurrent = running,
+        tokensPerMinute = tokensPerMinute.toDouble(),
+    )
+
     fun replication(action: ReplicationAction) {
         when (action) {
             is ReplicationAction.Release -> release(action)
@@ -120,6 +162,8 @@
                         val received = ReplicationEvent.Received(from, messages)
                         rings.replication.rings[shard].putBulk(received)
                     }
+            is PeerMessage.News ->
+                rings.news.put(NewsEvent.Received(from, message.message))
             is PeerMessage.Takeover ->
                 rings.takeover.put(TakeoverEvent.Answered(from, message.message))
         }
@@ -168,6 +212,11 @@
         )
     }
 
+    private companion object {
+        /** How long a request that crashed engines is remembered after the last word of it. */
+        val CRASH_LIFETIME = 1.hours
+    }
+
     private fun send(to: Member, message: PeerMessage) {
         links.accept(LinksEvent.Send(to, message))
     }
--- a/library/src/main/kotlin/org/bilberrycart/node/Pipeline.kt
+++ b/library/src/main/kotlin/org/bilberrycart/node/Pipeline.kt
@@ -18,6 +18,7 @@
 import org.bilberrycart.membership.MembershipState
 import org.bilberrycart.membership.PeerAddress
 import org.bilberrycart.model.UpstreamId
+import org.bilberrycart.news.NewsEvent
 import org.bilberrycart.pipeline.Clock
 import org.bilberrycart.pipeline.Duty
 import org.bilberrycart.pipeline.RingStats
@@ -81,7 +82,7 @@
             fleet::get,
         ),
         back = ReturnSinks(rings, callers, observer),
-        peers = PeerSinks(peers.self, rings, peers.links, store, clock, observer, fleet::get),
+        peers = PeerSinks(peers.self, rings, peers.links, store, ports.versions, clock, observer, fleet::get),
         self = peers.self,
         upstreams = ports.upstreams(UpstreamRelay(rings)),
         clock = clock,
@@ -104,6 +105,7 @@
             Ticker.Target(rings.health, HealthEvent.Tick),
             Ticker.Target(rings.takeover, TakeoverEvent.Tick),
             Ticker.Target(rings.membership, MembershipEvent.Tick),
+            Ticker.Target(rings.news, NewsEvent.Tick),
         ) +
             rings.journal.rings.map { Ticker.Target(it, JournalEvent.Tick) } +
             rings.release.rings.map { Ticker.Target(it, ReleaseEvent.Tick) }
@@ -161,6 +163,11 @@
         }
     }
 
+    /** Tells the other nodes that configuration [version] is in force here. */
+    public fun announce(version: Long) {
+        rings.news.offer(NewsEvent.ConfigurationAdopted(version))
+    }
+
     /** Hands [event] to the idempotency duty. */
     public fun idempotency(event: IdempotencyEvent) {
         rings.idempotency.put(event)
--- a/library/src/main/kotlin/org/bilberrycart/node/PipelinePorts.kt
+++ b/library/src/main/kotlin/org/bilberrycart/node/PipelinePorts.kt
@@ -19,6 +19,9 @@
     /** Returns what carries out dispatch actions; what upstreams bring goes to [output]. */
     public fun upstreams(output: UpstreamOutput): Sink<DispatchAction>
 
+    /** Who hears of the configurations that other nodes have in force. */
+    public val versions: VersionListener
+
     /** Returns the links to other nodes; what they send goes into [inbound]. */
     public fun peers(inbound: Ring<PeerEvent>): PeerPort
 
