--- a/library/src/main/kotlin/org/bilberrycart/node/PeerSinks.kt
+++ b/library/src/main/kotlin/org/bilberrycart/node/PeerSinks.kt
@@ -78,14 +78,16 @@
     fun news(action: NewsAction) {
         when (action) {
             is NewsAction.Send -> send(action.to, PeerMessage.News(action.message))
-            is NewsAction.UpstreamLeaving -> rings.health
-                .put(HealthEvent.LeavingHeard(action.upstream, action.incarnation))
+            is NewsAction.UpstreamLeaving ->
+                rings.health
+                    .put(HealthEvent.LeavingHeard(action.upstream, action.incarnation))
             is NewsAction.Crashes -> rings.suspect.put(
                 SuspectEvent.SuspectHeard(action.fingerprint, action.engines, CRASH_LIFETIME),
             )
             is NewsAction.NewerConfiguration -> control.versionHeard(action.version)
-            is NewsAction.FleetUse -> rings.admission
-                .put(AdmissionEvent.UsageHeard(action.use.organisation, action.use.toUsage()))
+            is NewsAction.FleetUse ->
+                rings.admission
+                    .put(AdmissionEvent.UsageHeard(action.use.organisation, action.use.toUsage()))
         }
     }
 
--- a/library/src/main/kotlin/org/bilberrycart/replication/Owned.kt
+++ b/library/src/main/kotlin/org/bilberrycart/replication/Owned.kt
@@ -54,10 +54,6 @@
     public val isInFlight: Boolean
         get() = isStored && (!isHeld || sent > acked)
 
-    /** Whether something that was sent is not confirmed. */
-    public val isInFlight: Boolean
-        get() = isStored && sent > acked
-
     /** How an owner stands to its holder. */
     public sealed class HolderState {
         /** No holder, and none was left behind that could give the generation away. */
