--- a/bench/src/main/kotlin/org/bilberrycart/bench/membership/EmulatedFleet.kt
+++ b/bench/src/main/kotlin/org/bilberrycart/bench/membership/EmulatedFleet.kt
@@ -61,7 +61,9 @@
 
     init {
         val members = (1..plan.members).map(::member)
-        members.forEach { states = states.put(it.vm, MembershipState(it, settings = plan.settings)) }
+        members.forEach {
+            states = states.put(it.vm, MembershipState(it, settings = plan.settings))
+        }
         val first = MembershipEvent.Discovered(listOf(members.first().peerAddress))
         members.forEach { member ->
             schedule(START_SPREAD * random.nextDouble(), Arrival.Event(member.vm, first))
@@ -177,8 +179,7 @@
 
     private fun isOne(status: MemberStatus, wanted: MemberStatus) = if (status == wanted) 1 else 0
 
-    private fun nextPause(): Duration =
-        checkNotNull(plan.pauseEvery) * (2 * random.nextDouble())
+    private fun nextPause(): Duration = checkNotNull(plan.pauseEvery) * (2 * random.nextDouble())
 
     private fun latency(): Duration = plan.latency * (HALF + random.nextDouble())
 
--- a/bench/src/main/kotlin/org/bilberrycart/bench/membership/MembershipCapacity.kt
+++ b/bench/src/main/kotlin/org/bilberrycart/bench/membership/MembershipCapacity.kt
@@ -7,6 +7,9 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.DurationUnit
 import kotlinx.serialization.Serializable
+import org.bilberrycart.bench.capacity.Point
+import org.bilberrycart.bench.capacity.Slope
+import org.bilberrycart.bench.capacity.usedBytes
 import org.bilberrycart.model.VmId
 import org.bilberrycart.peer.PeerCodec
 
@@ -21,9 +24,9 @@
     @Serializable
     data class Report(
         val points: List<MembershipPoint>,
-        val bytesFit: LinearFit,
-        val coreFit: LinearFit,
-        val heapFit: LinearFit,
+        val bytesFit: Slope,
+        val coreFit: Slope,
+        val heapFit: Slope,
         val predicted: Prediction,
         val measured: MembershipPoint,
     )
@@ -41,24 +44,26 @@
     fun run(): Report {
         measure(WARM_UP_SIZE)
         val points = sizes.map(::measure)
-        val bytes = LinearFit.of(points.map { LinearFit.Point(it.members, it.bytesPerSecond) })
-        val core = LinearFit.of(points.map { LinearFit.Point(it.members, it.coreShare) })
-        val heap = LinearFit.of(points.map { LinearFit.Point(it.members, it.heapBytes) })
+        val bytes = Slope.fit(points.map { Point(it.members.toDouble(), it.bytesPerSecond) })
+        val core = Slope.fit(points.map { Point(it.members.toDouble(), it.coreShare) })
+        val heap = Slope.fit(points.map { Point(it.members.toDouble(), it.heapBytes) })
         return Report(
             points = points,
             bytesFit = bytes,
             coreFit = core,
             heapFit = heap,
-            predicted = Prediction(target, bytes.at(target), core.at(target), heap.at(target)),
+            predicted = Prediction(target, at(bytes), at(core), at(heap)),
             measured = measure(target),
         )
     }
 
+    private fun at(slope: Slope): Double = slope.base + slope.perUnit * target
+
     private fun measure(members: Int): MembershipPoint {
-        val heapBefore = usedHeap()
+        val heapBefore = usedBytes()
         val fleet = EmulatedFleet(FleetPlan(members))
         fleet.run(JOIN_TIME)
-        val heap = (usedHeap() - heapBefore).toDouble() / members
+        val heap = (usedBytes() - heapBefore).toDouble() / members
         val before = fleet.counts
         val cpuBefore = cpuTime()
         fleet.run(STEADY_TIME)
@@ -122,12 +127,6 @@
     private fun cpuTime(): Duration =
         ManagementFactory.getThreadMXBean().currentThreadCpuTime.seconds / NANOS_PER_SECOND
 
-    private fun usedHeap(): Long {
-        repeat(GC_ROUNDS) { System.gc() }
-        val runtime = Runtime.getRuntime()
-        return runtime.totalMemory() - runtime.freeMemory()
-    }
-
     private companion object {
         val JOIN_TIME = 60.seconds
         val STEADY_TIME = 60.seconds
@@ -142,7 +141,6 @@
         const val MEDIAN = 0.5
         const val TAIL = 0.99
         const val NANOS_PER_SECOND = 1_000_000_000
-        const val GC_ROUNDS = 3
 
         /** Ten heartbeats of four bytes from each end within the idle limit of a link. */
         const val HEARTBEAT_BYTES = 80
--- a/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
@@ -14,8 +14,30 @@
     .subcommands(
         ServeCommand(),
         TryCommand(),
-        SoakCommand().subcommands(SoakPipelineCommand(), SoakGenerationsCommand()),
+        TopCommand(),
         ConfigCommand(),
-        StandInCommand().subcommands(StandInEngineCommand(), StandInServiceCommand()),
+        CallCommand().subcommands(CallShowCommand(), CallSettleCommand()),
+        SoakCommand().subcommands(
+            SoakPipelineCommand(),
+            SoakActionsCommand(),
+            SoakGenerationsCommand(),
+        ),
+        MeasureCommand().subcommands(
+            MeasureCommitCommand(),
+            MeasureOutageCommand(),
+            MeasureConfigurationCommand(),
+        ),
+        CapacityCommand().subcommands(
+            CapacityMetricsCommand(),
+            CapacitySettingsCommand(),
+            CapacityPlatformCommand(),
+            CapacityMembershipCommand(),
+            CapacityReplicationCommand(),
+        ),
+        StandInCommand().subcommands(
+            StandInEngineCommand(),
+            StandInServiceCommand(),
+            StandInPlatformCommand(),
+        ),
     )
     .main(args)
--- a/daemon/src/main/kotlin/org/bilberrycart/daemon/SoakGenerationsCommand.kt
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/SoakGenerationsCommand.kt
@@ -20,7 +20,7 @@
 /** Runs replication and takeover decisions of several nodes under seeded random faults. */
 class SoakGenerationsCommand : CliktCommand(name = "generations") {
     private val seeds by option(help = "the seeds to run, such as 1..10000")
-        .convert { parseRange(it) ?: fail("expected FROM..TO, got $it") }
+        .convert { seedRange(it) ?: fail("expected FROM..TO, got $it") }
         .default(1L..100L)
     private val threads by option(help = "threads that run seeds").int().default(2)
     private val planted by option(help = "a fault put in on purpose").choice(
@@ -51,11 +51,6 @@
         echo(lines.joinToString("\n"), err = true)
     }
 
-    private fun parseRange(text: String): LongRange? {
-        val parts = text.split("..").map { it.toLongOrNull() ?: return null }
-        return if (parts.size == 2) parts[0]..parts[1] else null
-    }
-
     private companion object {
         const val TRACE_LINES = 80
     }
--- /dev/null
+++ b/library/src/main/kotlin/org/bilberrycart/configuration/ConfigurationPublisher.kt
@@ -0,0 +1,54 @@
+package org.bilberrycart.configuration
+
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import org.bilberrycart.model.VmId
+import org.bilberrycart.platform.StoreResult
+import org.bilberrycart.platform.TableClient
+import org.bilberrycart.platform.WaitingTable
+
+/** Applies and reads configurations for an operator, who waits; not for use in a node's duties. */
+public class ConfigurationPublisher(
+    table: TableClient,
+    private val pause: Duration = 300.milliseconds,
+) {
+    private val filter = ApplyFilter()
+    private val rows = WaitingTable(table)
+
+    /** Applies [document] if [base] is the newest version. */
+    public fun apply(document: ConfigurationDocument, base: Long): ApplyOutcome =
+        run(ApplyState(base, document), ApplyEvent.Begin)
+
+    /** Returns the newest version, 0 if there is none; null if the store does not answer. */
+    public fun head(): Long? = (rows.read(ConfigurationStore.headKey) as? StoreResult.Found)
+        ?.let { ConfigurationStore.decodeHead(it.row) }
+
+    /** Returns the document of [version]; null if there is none or the store does not answer. */
+    public fun document(version: Long): ConfigurationDocument? =
+        (rows.read(ConfigurationStore.documentKey(version)) as? StoreResult.Found)
+            ?.row?.let(ConfigurationStore::decodeDocument)
+
+    /** Returns the version that each node has in force; null if the store does not answer. */
+    public fun reports(): Map<VmId, Long>? = ConfigurationStore.reports.let { key ->
+        (rows.scan(key.table, key.name) as? StoreResult.Listed)
+            ?.let { ConfigurationStore.decodeReports(it.rows) }
+    }
+
+    private tailrec fun run(state: ApplyState, event: ApplyEvent): ApplyOutcome {
+        val step = filter.step(state, event, Duration.ZERO)
+        val action = step.actions.single()
+        if (action is ApplyAction.Finish) return action.outcome
+        val result = carryOut(action)
+        if (result is StoreResult.Unavailable) TimeUnit.NANOSECONDS.sleep(pause.inWholeNanoseconds)
+        return run(step.state, ApplyEvent.StoreAnswered(result))
+    }
+
+    private fun carryOut(action: ApplyAction): StoreResult = when (action) {
+        ApplyAction.ReadHead -> rows.read(ConfigurationStore.headKey)
+        is ApplyAction.ReadBack -> rows.read(ConfigurationStore.documentKey(action.version))
+        is ApplyAction.Publish ->
+            rows.write(ConfigurationStore.publication(action.document, action.head))
+        is ApplyAction.Finish -> error("nothing to carry out: $action")
+    }
+}
