--- a/bench/src/main/kotlin/org/bilberrycart/bench/capacity/Measuring.kt
+++ b/bench/src/main/kotlin/org/bilberrycart/bench/capacity/Measuring.kt
@@ -29,7 +29,8 @@
     return List(runs) { measureTime(block) }.sorted()[runs / 2]
 }
 
-private fun usedBytes(): Long {
+/** Returns the bytes of heap in use, after garbage collection. */
+internal fun usedBytes(): Long {
     repeat(GC_RUNS) {
         System.gc()
         Thread.sleep(GC_PAUSE_MILLIS)
--- a/bench/src/main/kotlin/org/bilberrycart/bench/replication/ReplicationCapacity.kt
+++ b/bench/src/main/kotlin/org/bilberrycart/bench/replication/ReplicationCapacity.kt
@@ -6,6 +6,7 @@
 import kotlin.time.Duration.Companion.minutes
 import kotlinx.collections.immutable.persistentHashMapOf
 import kotlinx.serialization.Serializable
+import org.bilberrycart.bench.capacity.usedBytes
 import org.bilberrycart.membership.Member
 import org.bilberrycart.membership.MemberRecord
 import org.bilberrycart.model.DataCentreId
@@ -78,11 +79,11 @@
     }
 
     private fun heapOf(tokens: Int): Heap {
-        val before = usedHeap()
+        val before = usedBytes()
         val pair = Pair(REPLICAS)
         if (tokens > 0) pair.append(tokens)
         val replicas = pair.holderOnly()
-        val bytes = (usedHeap() - before).toDouble() / replicas.replicas.size
+        val bytes = (usedBytes() - before).toDouble() / replicas.replicas.size
         return Heap(replicas.replicas.size, tokens, bytes)
     }
 
@@ -167,12 +168,6 @@
 
     private fun cpuNanos(): Long = ManagementFactory.getThreadMXBean().currentThreadCpuTime
 
-    private fun usedHeap(): Long {
-        repeat(GC_ROUNDS) { System.gc() }
-        val runtime = Runtime.getRuntime()
-        return runtime.totalMemory() - runtime.freeMemory()
-    }
-
     private companion object {
         val FILTER = ReplicationFilter()
         val STEP = 10.milliseconds
@@ -180,7 +175,6 @@
         const val REPLICAS = 400
         const val PROMPT_CHARS = 2_000
         const val FRAME_HEADER = 4
-        const val GC_ROUNDS = 3
         const val NANOS_PER_MICRO = 1_000.0
     }
 }
--- /dev/null
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/CapacityMembershipCommand.kt
@@ -0,0 +1,26 @@
+package org.bilberrycart.daemon
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.flag
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.options.split
+import com.github.ajalt.clikt.parameters.types.int
+import kotlinx.serialization.json.Json
+import org.bilberrycart.bench.membership.MembershipCapacity
+
+/** Measures the cost of membership for one node in fleets of several sizes. */
+class CapacityMembershipCommand : CliktCommand(name = "membership") {
+    private val sizes by option(help = "sizes to fit a line to").int().split(",")
+        .default(listOf(4, 16, 48, 128))
+    private val target by option(help = "the size to predict and to check").int().default(330)
+    private val json by option(help = "print the result as JSON").flag()
+
+    override fun help(context: Context): String = "Measures the cost of membership."
+
+    override fun run() {
+        val report = MembershipCapacity(sizes, target).run()
+        echo(if (json) Json.encodeToString(report) else CapacityText.of(report))
+    }
+}
--- a/library/src/main/kotlin/org/bilberrycart/node/PeerSinks.kt
+++ b/library/src/main/kotlin/org/bilberrycart/node/PeerSinks.kt
@@ -168,6 +168,8 @@
                 rings.news.put(NewsEvent.Received(from, message.message))
             is PeerMessage.Takeover ->
                 rings.takeover.put(TakeoverEvent.Answered(from, message.message))
+            // No duty of this node spreads news yet, so a peer's news is not for it.
+            is PeerMessage.News -> Unit
         }
     }
 
