--- a/library/src/main/kotlin/org/bilberrycart/peer/PeerCodec.kt
+++ b/library/src/main/kotlin/org/bilberrycart/peer/PeerCodec.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.ByteString
 import kotlinx.serialization.cbor.Cbor
 import kotlinx.serialization.cbor.CborArray
@@ -18,11 +19,26 @@
 
     fun encode(message: PeerMessage): ByteArray = cbor.encodeToByteArray(message)
 
-    fun decode(bytes: ByteArray): PeerMessage = cbor.decodeFromByteArray(bytes)
+    fun decode(bytes: ByteArray): PeerMessage = checked { cbor.decodeFromByteArray(bytes) }
 
     fun encodeHandshake(message: Handshake): ByteArray = cbor.encodeToByteArray(message)
 
-    fun decodeHandshake(bytes: ByteArray): Handshake = cbor.decodeFromByteArray(bytes)
+    fun decodeHandshake(bytes: ByteArray): Handshake =
+        checked { cbor.decodeFromByteArray(bytes) }
+
+    /**
+     * The decoder ends a frame that was cut with other exceptions than its own, and recurses
+     * without bound on chunks of a text of indefinite length.
+     */
+    private inline fun <T> checked(decode: () -> T): T = try {
+        decode()
+    } catch (e: SerializationException) {
+        throw e
+    } catch (e: RuntimeException) {
+        throw SerializationException("malformed message", e)
+    } catch (e: StackOverflowError) {
+        throw SerializationException("malformed message", e)
+    }
 }
 
 /** The two messages with which each end of a link proves that it knows the secret. */
--- /dev/null
+++ b/library/src/test/kotlin/org/bilberrycart/peer/PeerCodecFuzzTest.kt
@@ -0,0 +1,88 @@
+package org.bilberrycart.peer
+
+import io.kotest.assertions.throwables.shouldThrow
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.datatest.withData
+import io.kotest.engine.names.WithDataTestName
+import io.kotest.matchers.ints.shouldBeLessThan
+import io.kotest.matchers.shouldBe
+import io.kotest.property.PropTestConfig
+import io.kotest.property.checkAll
+import kotlinx.coroutines.runBlocking
+import kotlinx.serialization.SerializationException
+import org.bilberrycart.fuzz.FUZZ_SEED
+import org.bilberrycart.fuzz.mutations
+import org.bilberrycart.membership.Member
+import org.bilberrycart.membership.MemberRecord
+import org.bilberrycart.membership.MembershipMessage
+import org.bilberrycart.model.DataCentreId
+import org.bilberrycart.model.VmId
+
+private const val ITERATIONS = 5_000
+private val config = PropTestConfig(seed = FUZZ_SEED, iterations = ITERATIONS)
+private val member = Member(VmId("vm-1"), "10.0.0.1", port = 7000, DataCentreId("dc-1"), run = 5)
+private val record = MemberRecord(member, incarnation = 3)
+private val samples = listOf(
+    MembershipMessage.Ping(sequence = 9, incarnation = 3, updates = listOf(record, record)),
+    MembershipMessage.PingRequest(sequence = 300, target = VmId("vm-2"), updates = listOf(record)),
+    MembershipMessage.Join(updates = emptyList()),
+).map { PeerCodec.encode(PeerMessage.Membership(it)) }
+
+/** Decodes a frame; null if the link closes because the frame is malformed. */
+private typealias Decode = (ByteArray) -> PeerMessage?
+
+private fun real(bytes: ByteArray): PeerMessage? = try {
+    PeerCodec.decode(bytes)
+} catch (e: SerializationException) {
+    null
+}
+
+private fun fuzz(decode: Decode) = runBlocking {
+    checkAll(config, mutations(samples)) { bytes ->
+        val message = decode(bytes)
+        if (message != null) {
+            val again = PeerCodec.encode(message)
+            decode(again) shouldBe message
+            again.size shouldBeLessThan 2 * bytes.size + 64
+        }
+    }
+}
+
+private data class PlantedFault(val name: String, val decode: Decode) : WithDataTestName {
+    override fun dataTestName(): String = name
+}
+
+class PeerCodecFuzzTest :
+    FunSpec({
+        test("any frame gives a message that can be written again, or closes the link") {
+            fuzz(::real)
+        }
+
+        test("any handshake is a handshake, or is refused") {
+            val hello = Handshake.Hello(version = 1, member, nonce = ByteArray(16) { it.toByte() })
+            val frames = listOf(hello, Handshake.Proof(ByteArray(32))).map {
+                PeerCodec.encodeHandshake(it)
+            }
+            checkAll(config, mutations(frames)) { bytes ->
+                try {
+                    PeerCodec.decodeHandshake(bytes)
+                } catch (e: IllegalArgumentException) {
+                    // LinkHandshake refuses the link for this, and for nothing else.
+                }
+            }
+        }
+
+        context("fuzzing finds a planted fault") {
+            withData(
+                PlantedFault("a decoder whose failures nobody catches", PeerCodec::decode),
+                PlantedFault("a decoder that loses the first claim") { bytes ->
+                    when (val message = (real(bytes) as? PeerMessage.Membership)?.message) {
+                        is MembershipMessage.Ping ->
+                            PeerMessage.Membership(message.copy(updates = message.updates.drop(1)))
+                        null -> null
+                        else -> PeerMessage.Membership(message)
+                    }
+                },
+            ) { planted -> shouldThrow<AssertionError> { fuzz(planted.decode) } }
+        }
+    })
