--- a/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
@@ -34,6 +34,8 @@
             CapacitySettingsCommand(),
             CapacityPlatformCommand(),
             CapacityRoutingCommand(),
+            CapacityMembershipCommand(),
+            CapacityReplicationCommand(),
         ),
         StandInCommand().subcommands(
             StandInEngineCommand(),
