--- a/library/src/main/kotlin/org/bilberrycart/dispatch/EventStreamReader.kt
+++ b/library/src/main/kotlin/org/bilberrycart/dispatch/EventStreamReader.kt
@@ -5,15 +5,16 @@
 /**
  * Splits the bytes of a `text/event-stream` into events.
  *
- * Only the fields `event` and `data` are kept. One event holds at most [maxEventBytes].
+ * Only the fields `event`, `data` and `id` are kept. One event holds at most [maxEventBytes].
  */
 public class EventStreamReader(private val maxEventBytes: Int = MAX_EVENT_BYTES) {
     private val line = ByteArrayOutputStream()
     private var event = ""
     private var data = ""
+    private var id = ""
 
-    /** One event of the stream; [event] is empty for the default type. */
-    public data class StreamEvent(val event: String, val data: String)
+    /** One event of the stream; [event] is empty for the default type, [id] if it has none. */
+    public data class StreamEvent(val event: String, val data: String, val id: String = "")
 
     /**
      * Takes [bytes] and calls [onEvent] for each event that they complete.
@@ -39,6 +40,7 @@
         when {
             text.isEmpty() -> endEvent(onEvent)
             text.startsWith("event:") -> event = text.substringAfter(':').trim()
+            text.startsWith("id:") -> id = text.substringAfter(':').trim()
             text.startsWith("data:") -> appendData(text.substringAfter(':').removePrefix(" "))
         }
     }
@@ -48,8 +50,9 @@
     }
 
     private fun endEvent(onEvent: (StreamEvent) -> Unit) {
-        if (data.isNotEmpty()) onEvent(StreamEvent(event, data))
+        if (data.isNotEmpty()) onEvent(StreamEvent(event, data, id))
         event = ""
+        id = ""
         data = ""
     }
 
