Add the soak of real processes

Change: soak processes starts nodes and stand-ins, sends a seeded load, brings seeded faults about, follows answers over nodes and judges tokens and executions in one pure filter; standin platform.

--- a/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
@@ -14,9 +14,13 @@
     .subcommands(
         ServeCommand(),
         TryCommand(),
-        SoakCommand().subcommands(SoakPipelineCommand()),
+        SoakCommand().subcommands(SoakPipelineCommand(), SoakProcessesCommand()),
         ConfigCommand(),
         LoadCommand(),
-        StandInCommand().subcommands(StandInEngineCommand(), StandInServiceCommand()),
+        StandInCommand().subcommands(
+            StandInEngineCommand(),
+            StandInServiceCommand(),
+            StandInPlatformCommand(),
+        ),
     )
     .main(args)
