--- a/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
@@ -23,6 +23,7 @@
             SoakPipelineCommand(),
             SoakGenerationsCommand(),
             SoakActionsCommand(),
+            SoakProcessesCommand(),
         ),
         MeasureCommand().subcommands(
             MeasureCommitCommand(),
