Add the experiment command

Cause: policies could be compared only by eye; no run put the same seeded load and faults under one policy after the other. Change: `bilberrycart experiment FILE` runs an experiment in JSON with comments against emulated engines and real nodes, prints a table or one JSON object, and draws a plot. The first token of organisations that keep their rate is reported apart. Extra use counts computed work, not the room held in reserve.

--- a/bench/src/main/kotlin/org/bilberrycart/bench/traffic/Arrival.kt
+++ b/bench/src/main/kotlin/org/bilberrycart/bench/traffic/Arrival.kt
@@ -12,6 +12,7 @@
  * @property number its place in the load, from 0; it makes the prompt unique.
  * @property deadline the time for the whole answer.
  * @property at when it is sent, from the start of the load, whether or not earlier ones are done.
+ * @property isSurging whether the rate of its organisation changes during the load.
  */
 data class Arrival(
     val number: Int,
@@ -21,6 +22,7 @@
     val prompt: String,
     val maxTokens: Int,
     val deadline: Duration = 10.minutes,
+    val isSurging: Boolean = false,
 ) {
     /** What the right tokens of the answer depend on. */
     val source: TokenSource
--- a/bench/src/main/kotlin/org/bilberrycart/bench/traffic/LoadRun.kt
+++ b/bench/src/main/kotlin/org/bilberrycart/bench/traffic/LoadRun.kt
@@ -3,6 +3,7 @@
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicReference
+import java.util.concurrent.atomic.LongAdder
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.nanoseconds
 import kotlinx.collections.immutable.PersistentMap
@@ -23,10 +24,15 @@
 ) {
     private val open = AtomicReference<PersistentMap<Int, Answer>>(persistentMapOf())
     private val totals = AtomicReference(LoadTotals(offered = arrivals.size))
+    private val delivered = LongAdder()
     private val left = CountDownLatch(arrivals.size)
 
     @Volatile private var startedAt = 0L
 
+    /** The tokens that callers received so far. */
+    val deliveredTokens: Long
+        get() = delivered.sum()
+
     /** How many requests are open now. */
     val openCount: Int
         get() = open.get().size
@@ -72,8 +78,10 @@
 
         override fun token(index: Int, text: String, now: Long) {
             progress = progress.take(index, text)
+            delivered.increment()
             if (lastAt == 0L) {
                 sample(Measure.FIRST_TOKEN, now, now - sentAt)
+                if (!arrival.isSurging) sample(Measure.STEADY_FIRST_TOKEN, now, now - sentAt)
             } else {
                 sample(Measure.INTER_TOKEN, now, now - lastAt)
             }
--- a/bench/src/main/kotlin/org/bilberrycart/bench/traffic/Measure.kt
+++ b/bench/src/main/kotlin/org/bilberrycart/bench/traffic/Measure.kt
@@ -5,6 +5,9 @@
     /** From sending a request to its first token. */
     FIRST_TOKEN,
 
+    /** [FIRST_TOKEN] of the organisations whose rate stays as it is. */
+    STEADY_FIRST_TOKEN,
+
     /** From one token to the next. */
     INTER_TOKEN,
 
--- a/bench/src/main/kotlin/org/bilberrycart/bench/traffic/TrafficPlan.kt
+++ b/bench/src/main/kotlin/org/bilberrycart/bench/traffic/TrafficPlan.kt
@@ -37,10 +37,10 @@
     val untilSeconds: Double,
     val factor: Double,
 ) {
-    internal fun factorFor(name: String, at: Double): Double {
-        val isMeant = organisation.isEmpty() || organisation == name
-        return if (isMeant && at in fromSeconds..<untilSeconds) factor else 1.0
-    }
+    internal fun isFor(name: String): Boolean = organisation.isEmpty() || organisation == name
+
+    internal fun factorFor(name: String, at: Double): Double =
+        if (isFor(name) && at in fromSeconds..<untilSeconds) factor else 1.0
 }
 
 /**
@@ -114,6 +114,7 @@
             prompt = (shared + own).joinToString(" "),
             maxTokens = tokens.toInt().coerceIn(1, mix.longestTokens),
             deadline = mix.deadlineSeconds.seconds,
+            isSurging = surges.any { it.isFor(name) },
         )
     }
 
--- a/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
@@ -16,6 +16,7 @@
         TryCommand(),
         ConfigCommand(),
         LoadCommand(),
+        ExperimentCommand(),
         StandInCommand().subcommands(StandInEngineCommand(), StandInServiceCommand()),
     )
     .main(args)
--- a/standins/src/main/kotlin/org/bilberrycart/standins/engine/BatchSteps.kt
+++ b/standins/src/main/kotlin/org/bilberrycart/standins/engine/BatchSteps.kt
@@ -77,6 +77,8 @@
             .count {
                 copy(
                     prefillTokens = prefillTokens + promptTokens - cached,
+                    resumePrefillTokens = resumePrefillTokens +
+                        if (stream.request.prefix.isEmpty()) 0 else promptTokens - cached,
                     cachedTokens = cachedTokens + cached,
                 )
             }
--- a/standins/src/main/kotlin/org/bilberrycart/standins/engine/EngineCounters.kt
+++ b/standins/src/main/kotlin/org/bilberrycart/standins/engine/EngineCounters.kt
@@ -7,6 +7,7 @@
  *
  * @property tokens tokens decoded.
  * @property prefillTokens prompt and prefix tokens computed, cached ones not counted.
+ * @property resumePrefillTokens the part of [prefillTokens] for streams accepted with a prefix.
  * @property cachedTokens prompt and prefix tokens that the cache saved.
  * @property streams streams accepted.
  * @property resumed streams accepted with a prefix.
@@ -20,6 +21,7 @@
 data class EngineCounters(
     val tokens: Long = 0,
     val prefillTokens: Long = 0,
+    val resumePrefillTokens: Long = 0,
     val cachedTokens: Long = 0,
     val streams: Long = 0,
     val resumed: Long = 0,
