--- a/bench/src/main/kotlin/org/bilberrycart/bench/pipeline/PipelineRun.kt
+++ b/bench/src/main/kotlin/org/bilberrycart/bench/pipeline/PipelineRun.kt
@@ -66,11 +66,10 @@
     private var callers: PersistentList<FakeCaller> = persistentListOf()
     private var faults = 0L
 
-    override fun store(
-        results: (StoreContext, StoreResult) -> Unit,
-    ): Sink<PlatformEvent.Call> = Sink { call ->
-        results(call.context, StoreResult.Unavailable(StoreFailure.CIRCUIT_OPEN))
-    }
+    override fun store(results: (StoreContext, StoreResult) -> Unit): Sink<PlatformEvent.Call> =
+        Sink { call ->
+            results(call.context, StoreResult.Unavailable(StoreFailure.CIRCUIT_OPEN))
+        }
 
     override fun upstreams(output: UpstreamOutput): Sink<DispatchAction> =
         FakeEngines(random, output, watch).also { engines = it }
--- a/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/Main.kt
@@ -18,6 +18,7 @@
         ConfigCommand(),
         CallCommand().subcommands(CallShowCommand(), CallSettleCommand()),
         LoadCommand(),
+        ExperimentCommand(),
         ExperimentPoliciesCommand(),
         SoakCommand().subcommands(
             SoakPipelineCommand(),
--- a/library/src/main/kotlin/org/bilberrycart/peer/PeerCodec.kt
+++ b/library/src/main/kotlin/org/bilberrycart/peer/PeerCodec.kt
@@ -21,8 +21,7 @@
     public fun encode(message: PeerMessage): ByteArray = cbor.encodeToByteArray(message)
 
     /** Returns the message of [bytes]; throws `SerializationException` if they are malformed. */
-    public fun decode(bytes: ByteArray): PeerMessage =
-        checked { cbor.decodeFromByteArray(bytes) }
+    public fun decode(bytes: ByteArray): PeerMessage = checked { cbor.decodeFromByteArray(bytes) }
 
     /** Returns the bytes that [self] sends to open one link, lengths included. */
     public fun handshakeBytes(self: Member): Int {
