--- a/library/src/main/kotlin/org/bilberrycart/peer/PeerCodec.kt
+++ b/library/src/main/kotlin/org/bilberrycart/peer/PeerCodec.kt
@@ -23,8 +23,7 @@
 
     fun encodeHandshake(message: Handshake): ByteArray = cbor.encodeToByteArray(message)
 
-    fun decodeHandshake(bytes: ByteArray): Handshake =
-        checked { cbor.decodeFromByteArray(bytes) }
+    fun decodeHandshake(bytes: ByteArray): Handshake = checked { cbor.decodeFromByteArray(bytes) }
 
     /**
      * The decoder ends a frame that was cut with other exceptions than its own, and recurses
