--- a/bench/src/main/kotlin/org/bilberrycart/bench/pipeline/PipelineRun.kt
+++ b/bench/src/main/kotlin/org/bilberrycart/bench/pipeline/PipelineRun.kt
@@ -109,18 +109,31 @@
         get() = watch.lines
 
     private fun act() {
-        when (random.nextInt(PER_MILLE)) {
-            in 0 until 560 -> stepDuty()
-            in 560 until 860 -> engines.act()
-            in 860 until 930 -> pass((1 + random.nextInt(MAX_STEP_MILLIS)).milliseconds)
-            in 930 until 980 -> callers.randomOrNull(random)?.take()
-            in 980 until 986 -> ask()
-            in 986 until 992 -> callerFault()
-            in 992 until 998 -> fault()
-            else -> pass(random.nextInt(MAX_JUMP_MILLIS).milliseconds)
+        val draw = random.nextInt(TOTAL_WEIGHT)
+        when (Choice.entries.first { draw < it.below }) {
+            Choice.STEP_DUTY -> stepDuty()
+            Choice.ENGINE -> engines.act()
+            Choice.SHORT_TIME -> pass((1 + random.nextInt(MAX_STEP_MILLIS)).milliseconds)
+            Choice.CALLER_TAKES -> callers.randomOrNull(random)?.take()
+            Choice.REQUEST -> ask()
+            Choice.CALLER_FAULT -> callerFault()
+            Choice.ENGINE_FAULT -> fault()
+            Choice.LONG_TIME -> pass(random.nextInt(MAX_JUMP_MILLIS).milliseconds)
         }
     }
 
+    /** What happens next; [below] is the sum of the weights up to this choice, of 1,000. */
+    private enum class Choice(val below: Int) {
+        STEP_DUTY(below = 560),
+        ENGINE(below = 860),
+        SHORT_TIME(below = 930),
+        CALLER_TAKES(below = 980),
+        REQUEST(below = 986),
+        CALLER_FAULT(below = 992),
+        ENGINE_FAULT(below = 998),
+        LONG_TIME(below = 1_000),
+    }
+
     private fun stepDuty() {
         val ready = pipeline.duties.filter { it.ring.stats().held > 0 }
         ready.randomOrNull(random)?.stepHeld()
@@ -157,7 +170,7 @@
         faults++
         when (random.nextInt(CALLER_FAULTS)) {
             0 -> caller.cancel()
-            in 1..3 -> caller.vanish()
+            in VANISHING -> caller.vanish()
             else -> caller.comeBack()
         }
     }
@@ -216,12 +229,13 @@
         const val ENGINES = 4
         const val SLOTS = 4
         const val STEPS = 6_000
-        const val PER_MILLE = 1_000
+        const val TOTAL_WEIGHT = 1_000
         const val MAX_STEP_MILLIS = 8
         const val MAX_JUMP_MILLIS = 600
         const val MAX_CALLERS = 16
         const val MAX_TOKENS = 40
         const val CALLER_FAULTS = 8
+        val VANISHING = 1..3
         const val SETTLE_ROUNDS = 4_000
         const val STEPS_PER_ROUND = 40
         const val SENDS_PER_ROUND = 10
