--- a/bench/src/test/kotlin/org/bilberrycart/bench/traffic/TrafficPlanTest.kt
+++ b/bench/src/test/kotlin/org/bilberrycart/bench/traffic/TrafficPlanTest.kt
@@ -5,7 +5,6 @@
 import io.kotest.engine.names.WithDataTestName
 import io.kotest.matchers.doubles.shouldBeBetween
 import io.kotest.matchers.shouldBe
-import io.kotest.matchers.shouldNotBe
 import kotlin.time.DurationUnit
 import org.bilberrycart.model.RequestClass
 
@@ -29,7 +28,7 @@
     FunSpec({
         test("the same seed gives the same arrivals and another seed others") {
             plan.arrivals() shouldBe plan.arrivals()
-            plan.copy(seed = 6).arrivals() shouldNotBe plan.arrivals()
+            (plan.copy(seed = 6).arrivals() == plan.arrivals()) shouldBe false
         }
 
         test("arrivals are numbered in order of time and no prompt comes twice") {
@@ -63,4 +62,12 @@
             counts.getValue("small").toDouble().shouldBeBetween(2_000.0, 2_000.0, 200.0)
             counts.getValue("large").toDouble().shouldBeBetween(800.0, 800.0, 120.0)
         }
+
+        test("arrivals of a surging organisation are marked, those of others are not") {
+            val surge = Surge("small", fromSeconds = 500.0, untilSeconds = 600.0, factor = 10.0)
+            plan.copy(surges = listOf(surge)).arrivals()
+                .groupBy({ it.organisation.value }, { it.isSurging })
+                .mapValues { it.value.toSet() } shouldBe
+                mapOf("large" to setOf(false), "small" to setOf(true))
+        }
     })
