--- a/bench/src/main/kotlin/org/bilberrycart/bench/processes/ProcessFleet.kt
+++ b/bench/src/main/kotlin/org/bilberrycart/bench/processes/ProcessFleet.kt
@@ -13,14 +13,14 @@
 import org.bilberrycart.standins.service.ServiceSettings
 
 /** The processes of a run: nodes, engines, plain services and the platform. */
-class ProcessFleet(private val folder: Path, seed: Long) : AutoCloseable {
+class ProcessFleet(private val folder: Path) : AutoCloseable {
     private val ports = FleetPorts.free(NODES, ENGINES, SERVICES)
     private val control = StandInControl()
     private val deaths = AtomicReference<PersistentMap<Int, TimeMark>>(persistentMapOf())
     private val settings = FleetFolder(folder, ports)
     private val platform = child(
         "platform",
-        listOf("standin", "platform", "--port", "${ports.platform}", "--seed", "$seed"),
+        listOf("standin", "platform", "--port", "${ports.platform}"),
     )
     private val engines = List(ENGINES) { engine(it) }
     private val services = List(SERVICES) { service(it) }
--- a/bench/src/main/kotlin/org/bilberrycart/bench/processes/ProcessSoak.kt
+++ b/bench/src/main/kotlin/org/bilberrycart/bench/processes/ProcessSoak.kt
@@ -39,7 +39,7 @@
     fun run(): ProcessReport {
         val folder = Files.createTempDirectory("bilberrycart-soak")
         log.info("event=soak_started seed={} folder={}", seed, folder)
-        val fleet = ProcessFleet(folder, seed)
+        val fleet = ProcessFleet(folder)
         val hook = Thread { fleet.close() }
         Runtime.getRuntime().addShutdownHook(hook)
         val report = fleet.use {
--- a/library/src/main/kotlin/org/bilberrycart/replication/Sweep.kt
+++ b/library/src/main/kotlin/org/bilberrycart/replication/Sweep.kt
@@ -140,7 +140,8 @@
         now: Duration,
     ): ReplicationStep {
         val claim = replica.claim ?: return Step(state)
-        val limit = if (claim.isDeciding) state.settings.decideRetry else state.settings.yieldTimeout
+        val settings = state.settings
+        val limit = if (claim.isDeciding) settings.decideRetry else settings.yieldTimeout
         if (now - claim.since <= limit) return Step(state)
         return ClaimSide.askTable(state, replica.copy(claim = claim.copy(since = now)))
     }
