--- a/bench/src/main/kotlin/org/bilberrycart/bench/replication/ReplicationCapacity.kt
+++ b/bench/src/main/kotlin/org/bilberrycart/bench/replication/ReplicationCapacity.kt
@@ -27,7 +27,7 @@
 import org.bilberrycart.replication.ReplicationFilter
 import org.bilberrycart.replication.ReplicationState
 
-/** Measures the bytes, processor time and memory of replication between one owner and one holder. */
+/** Measures bytes, processor time and memory of replication between an owner and a holder. */
 class ReplicationCapacity {
     /**
      * One measurement.
@@ -55,12 +55,12 @@
 
     /** Runs all measurements, one after the other. */
     fun run(): Report {
-        measure(generations = 10, batch = 1)
+        measure(generations = WARM_UP_GENERATIONS, batch = 1)
         return Report(
-            points = listOf(1, 10, 100).flatMap { generations ->
-                listOf(1, 4, 16).map { measure(generations, it) }
+            points = GENERATIONS.flatMap { generations ->
+                BATCHES.map { measure(generations, it) }
             },
-            heap = listOf(0, 500, 2_000).map(::heapOf),
+            heap = TOKENS_HELD.map(::heapOf),
         )
     }
 
@@ -163,12 +163,18 @@
         )
 
         private fun member(number: Int) =
-            Member(VmId("vm$number"), "10.0.0.$number", 7_000, DataCentreId("dc$number"))
+            Member(VmId("vm$number"), "10.0.0.$number", PORT, DataCentreId("dc$number"))
     }
 
     private fun cpuNanos(): Long = ManagementFactory.getThreadMXBean().currentThreadCpuTime
 
     private companion object {
+        const val PORT = 7_000
+        const val WARM_UP_GENERATIONS = 10
+        val GENERATIONS = listOf(1, 10, 100)
+        val BATCHES = listOf(1, 4, 16)
+        val TOKENS_HELD = listOf(0, 500, 2_000)
+
         val FILTER = ReplicationFilter()
         val STEP = 10.milliseconds
         const val ROUNDS = 200
