Refuse without a word on earlier requests when the table is down; share use and order of nodes

Change: such a request gets 4006, which speaks of this request only; the table case says so, and the history check holds 4006 to no execution by its attempt. Conclusion: 4001 is said only where the record proves it.

--- a/bench/src/main/kotlin/org/bilberrycart/bench/actions/HistoryCheck.kt
+++ b/bench/src/main/kotlin/org/bilberrycart/bench/actions/HistoryCheck.kt
@@ -58,6 +58,7 @@
     private companion object {
         val NOT_RUN_CODES = setOf(
             ResultCode.NOT_RUN,
+            ResultCode.STORE_UNAVAILABLE,
             ResultCode.DEADLINE_PASSED,
             ResultCode.NO_UPSTREAM,
             ResultCode.IN_PROGRESS,
--- a/bench/src/main/kotlin/org/bilberrycart/bench/routing/FakeNodes.kt
+++ b/bench/src/main/kotlin/org/bilberrycart/bench/routing/FakeNodes.kt
@@ -96,6 +96,8 @@
                     suspect(node, SuspectEvent.Place(Placement(first, action.request)), now)
                 }
 
+                is AdmissionAction.ReportUse -> Unit
+
                 is AdmissionAction.Refuse ->
                     carryOut(NodeAction.Fail(action.request, action.code))
             }
--- a/daemon/src/main/kotlin/org/bilberrycart/daemon/ServeCommand.kt
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/ServeCommand.kt
@@ -34,6 +34,7 @@
     }
 
     private fun serve(settings: Settings) {
+        LogSetup.use(settings.node.log)
         val node = Node(settings).start()
         val stopped = CountDownLatch(1)
         val drain = thread(start = false, name = "drain") {
--- a/library/src/main/kotlin/org/bilberrycart/admission/AdmissionFilter.kt
+++ b/library/src/main/kotlin/org/bilberrycart/admission/AdmissionFilter.kt
@@ -32,7 +32,16 @@
         is AdmissionEvent.UsageHeard -> Step(usageHeard(state, event))
         is AdmissionEvent.NodesChanged -> Step(state.copy(nodes = maxOf(1, event.count)))
         AdmissionEvent.Drain -> Step(state.copy(isDraining = true))
-        AdmissionEvent.Tick -> Step(state)
+        AdmissionEvent.Tick -> reportUse(state, now)
+    }
+
+    private fun reportUse(
+        state: AdmissionState,
+        now: Duration,
+    ): Step<AdmissionState, AdmissionAction> {
+        if (now - state.reportedAt < USE_REPORT_PERIOD) return Step(state)
+        return state.copy(reportedAt = now)
+            .withActions(AdmissionAction.ReportUse(state.usage(now)))
     }
 
     private fun arrived(
@@ -191,5 +200,6 @@
     return AdmissionAction.Refuse(request.id, code, retryAfter)
 }
 
+private val USE_REPORT_PERIOD = 1.seconds
 private val MIN_RETRY = 1.seconds
 private val MAX_RETRY = 60.seconds
--- a/library/src/main/kotlin/org/bilberrycart/admission/AdmissionState.kt
+++ b/library/src/main/kotlin/org/bilberrycart/admission/AdmissionState.kt
@@ -16,6 +16,7 @@
  * @property nodes the number of live nodes, this one included.
  * @property requests the admitted requests that are not over.
  * @property activeWeight the sum of the weights of the organisations that have work.
+ * @property reportedAt when the use was last reported to the other nodes.
  */
 public data class AdmissionState(
     val settings: AdmissionSettings = AdmissionSettings(),
@@ -25,6 +26,7 @@
     val organisations: PersistentMap<OrganisationId, OrganisationState> = persistentHashMapOf(),
     val services: PersistentMap<ServiceId, ServiceLoad> = persistentHashMapOf(),
     val activeWeight: Int = 0,
+    val reportedAt: Duration = Duration.ZERO,
 ) {
     /** Returns what is known of [id]. */
     public fun organisation(id: OrganisationId): OrganisationState = organisations[id] ?: UNKNOWN
--- a/library/src/main/kotlin/org/bilberrycart/idempotency/RecordSteps.kt
+++ b/library/src/main/kotlin/org/bilberrycart/idempotency/RecordSteps.kt
@@ -195,7 +195,7 @@
 ): IdempotencyStep = when {
     phase.intent !is RecordIntent.Insert -> wait(call, phase, RecordStage.WRITE_DUE, now)
     call.mayBeStored -> wait(call, phase, RecordStage.READ_DUE, now)
-    else -> finish(call, notRun(ResultCode.STORE_UNAVAILABLE))
+    else -> finish(call, failed(ResultCode.STORE_UNAVAILABLE, detail = EARLIER_ATTEMPT))
 }
 
 private fun IdempotencyState.readBack(
@@ -223,6 +223,9 @@
     return Step(with(call.copy(phase = phase.copy(stage = stage), dueAt = dueAt)))
 }
 
+private const val EARLIER_ATTEMPT =
+    "this request ran nothing; an earlier one with the same key may have run"
+
 private fun notRun(reason: ResultCode): AnswerPart.Failed =
     failed(ResultCode.NOT_RUN, detail = reason.name)
 
--- a/library/src/main/kotlin/org/bilberrycart/node/ForwardSinks.kt
+++ b/library/src/main/kotlin/org/bilberrycart/node/ForwardSinks.kt
@@ -18,6 +18,7 @@
 import org.bilberrycart.model.ServiceCall
 import org.bilberrycart.model.Upstream
 import org.bilberrycart.news.NewsEvent
+import org.bilberrycart.news.OrganisationUse
 import org.bilberrycart.pipeline.Clock
 import org.bilberrycart.pipeline.Sink
 import org.bilberrycart.platform.PlatformEvent
@@ -42,6 +43,7 @@
     fun admission(action: AdmissionAction) {
         when (action) {
             is AdmissionAction.Admit -> admit(action.request)
+            is AdmissionAction.ReportUse -> reportUse(action)
             is AdmissionAction.Refuse -> {
                 observer.count(MetricsEvent.Refused(action.code))
                 val end = AnswerPart.Failed(action.code, retryAfter = action.retryAfter)
@@ -50,6 +52,18 @@
         }
     }
 
+    private fun reportUse(action: AdmissionAction.ReportUse) {
+        val uses = action.uses.map { (organisation, usage) ->
+            OrganisationUse(
+                organisation = organisation,
+                requestsPerSecond = usage.requestsPerSecond.toFloat(),
+                running = usage.concurrent,
+                tokensPerMinute = usage.tokensPerMinute.toLong(),
+            )
+        }
+        if (uses.isNotEmpty()) rings.news.offer(NewsEvent.Used(uses))
+    }
+
     private fun admit(request: Request) {
         observer.count(
             MetricsEvent.Admitted(
@@ -129,7 +143,10 @@
                 rings.news.put(NewsEvent.UpstreamLeaving(action.upstream, action.incarnation))
                 rings.routing.put(RoutingEvent.Leaving(action.upstream, action.incarnation))
             }
-            is HealthAction.Returned -> rings.dispatch.put(DispatchEvent.Returned(action.upstream))
+            is HealthAction.Returned -> {
+                rings.dispatch.put(DispatchEvent.Returned(action.upstream))
+                rings.suspect.put(SuspectEvent.Returned(action.upstream))
+            }
         }
     }
 }
--- a/library/src/main/kotlin/org/bilberrycart/node/PeerSinks.kt
+++ b/library/src/main/kotlin/org/bilberrycart/node/PeerSinks.kt
@@ -1,8 +1,8 @@
 package org.bilberrycart.node
 
 import kotlin.time.Duration.Companion.hours
-import kotlinx.collections.immutable.PersistentSet
-import kotlinx.collections.immutable.persistentHashSetOf
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentHashMapOf
 import org.bilberrycart.admission.AdmissionEvent
 import org.bilberrycart.admission.Usage
 import org.bilberrycart.health.HealthEvent
@@ -13,6 +13,7 @@
 import org.bilberrycart.membership.MembershipEvent
 import org.bilberrycart.metrics.MetricsEvent
 import org.bilberrycart.model.AnswerPart
+import org.bilberrycart.model.OrganisationId
 import org.bilberrycart.model.VmId
 import org.bilberrycart.news.NewsAction
 import org.bilberrycart.news.NewsEvent
@@ -28,6 +29,7 @@
 import org.bilberrycart.replication.ReplicationEvent
 import org.bilberrycart.replication.ReplicationMessage
 import org.bilberrycart.replication.VerdictStore
+import org.bilberrycart.routing.RoutingEvent
 import org.bilberrycart.settings.FleetSettings
 import org.bilberrycart.suspect.SuspectEvent
 import org.bilberrycart.takeover.TakeoverAction
@@ -40,12 +42,13 @@
     private val links: Sink<LinksEvent>,
     private val store: Sink<PlatformEvent.Call>,
     private val control: VersionListener,
+    private val ownUse: (OrganisationId) -> Usage,
     private val clock: Clock,
     private val observer: NodeObserver,
     private val fleet: () -> FleetSettings,
 ) {
     private val verdicts = VerdictStore()
-    private var reachable: PersistentSet<VmId> = persistentHashSetOf()
+    private var reachable: PersistentMap<VmId, Member> = persistentHashMapOf()
 
     /** Hands what a peer said to the filter that it is for. */
     fun inbound(event: PeerEvent) {
@@ -70,9 +73,14 @@
     }
 
     private fun countNodes(record: MemberRecord) {
-        val vm = record.member.vm
-        reachable = if (record.isReachable) reachable.add(vm) else reachable.remove(vm)
-        rings.admission.put(AdmissionEvent.NodesChanged(reachable.size + 1))
+        val member = record.member
+        reachable = with(reachable) {
+            if (record.isReachable) put(member.vm, member) else remove(member.vm)
+        }
+        val count = reachable.size + 1
+        val index = reachable.values.count { ORDER.compare(it, self) < 0 }
+        rings.admission.put(AdmissionEvent.NodesChanged(count))
+        rings.routing.put(RoutingEvent.NodesChanged(index, count))
     }
 
     fun news(action: NewsAction) {
@@ -85,16 +93,20 @@
                 SuspectEvent.SuspectHeard(action.fingerprint, action.engines, CRASH_LIFETIME),
             )
             is NewsAction.NewerConfiguration -> control.versionHeard(action.version)
-            is NewsAction.FleetUse ->
-                rings.admission
-                    .put(AdmissionEvent.UsageHeard(action.use.organisation, action.use.toUsage()))
+            is NewsAction.FleetUse -> rings.admission.put(
+                AdmissionEvent.UsageHeard(
+                    organisation = action.use.organisation,
+                    use = action.use.without(ownUse(action.use.organisation)),
+                ),
+            )
         }
     }
 
-    private fun OrganisationUse.toUsage() = Usage(
-        requestsPerSecond = requestsPerSecond.toDouble(),
-        concurrent = running,
-        tokensPerMinute = tokensPerMinute.toDouble(),
+    /** What the other nodes use: this sum of all nodes less what this node uses itself. */
+    private fun OrganisationUse.without(own: Usage) = Usage(
+        requestsPerSecond = (requestsPerSecond - own.requestsPerSecond).coerceAtLeast(0.0),
+        concurrent = (running - own.concurrent).coerceAtLeast(0),
+        tokensPerMinute = (tokensPerMinute - own.tokensPerMinute).coerceAtLeast(0.0),
     )
 
     fun replication(action: ReplicationAction) {
@@ -219,6 +231,7 @@
     private companion object {
         /** How long a request that crashed engines is remembered after the last word of it. */
         val CRASH_LIFETIME = 1.hours
+        val ORDER: Comparator<Member> = compareBy({ it.dataCentre.value }, { it.vm.value })
     }
 
     private fun send(to: Member, message: PeerMessage) {
