Resume a generation whose caller has part of it over the retry budget

Change: such a resume always passes and still spends; the debt is bounded by one burst. Conclusion: the budget no longer cuts an answer that a caller has part of.

--- a/library/src/main/kotlin/org/bilberrycart/routing/Pool.kt
+++ b/library/src/main/kotlin/org/bilberrycart/routing/Pool.kt
@@ -41,8 +41,8 @@
     internal fun earnRetry(share: Double): Pool =
         copy(retryBudget = minOf(retryBurst, retryBudget + share))
 
-    /** Returns this pool after one retry. */
-    internal fun spendRetry(): Pool = copy(retryBudget = retryBudget - 1)
+    /** Returns this pool after one retry; running generations may owe up to one burst. */
+    internal fun spendRetry(): Pool = copy(retryBudget = maxOf(-retryBurst, retryBudget - 1))
 
     private companion object {
         const val MIN_RETRY_BURST = 10.0
--- a/library/src/main/kotlin/org/bilberrycart/routing/RetryBudget.kt
+++ b/library/src/main/kotlin/org/bilberrycart/routing/RetryBudget.kt
@@ -6,10 +6,15 @@
 internal val Placement.isRetry: Boolean
     get() = attempt.number > 1
 
-/** Returns whether the retry budget lets [placement] pass; a first attempt always passes. */
+/**
+ * Returns whether the retry budget lets [placement] pass.
+ *
+ * A first attempt always passes, and so does a generation whose caller has part of it: refusing that
+ * would cut an answer. The journal bounds how many engines one generation may lose.
+ */
 internal fun RoutingState.mayRetry(placement: Placement): Boolean {
     val pool = pools[keysOf(placement).first()] ?: return true
-    return !placement.isRetry || pool.retryBudget >= 1
+    return !placement.isRetry || placement.prefix.isNotEmpty() || pool.retryBudget >= 1
 }
 
 /** Returns this state after a retry has spent, or a first attempt has earned, its part. */
