--- a/library/src/main/kotlin/org/bilberrycart/routing/RetryBudget.kt
+++ b/library/src/main/kotlin/org/bilberrycart/routing/RetryBudget.kt
@@ -9,8 +9,8 @@
 /**
  * Returns whether the retry budget lets [placement] pass.
  *
- * A first attempt always passes, and so does a generation whose caller has part of it: refusing that
- * would cut an answer. The journal bounds how many engines one generation may lose.
+ * A first attempt always passes, and so does a generation whose caller has part of it: refusing
+ * that would cut an answer. The journal bounds how many engines one generation may lose.
  */
 internal fun RoutingState.mayRetry(placement: Placement): Boolean {
     val pool = pools[keysOf(placement).first()] ?: return true
