--- /dev/null
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/FrontMain.kt
@@ -0,0 +1,35 @@
+package org.bilberrycart.daemon
+
+import java.nio.file.Path
+import kotlin.system.exitProcess
+import kotlin.time.Duration.Companion.seconds
+import org.bilberrycart.gateway.http.HttpClients
+import org.bilberrycart.gateway.node.GatewayNode
+import org.bilberrycart.gateway.node.SettingsFile
+import org.bilberrycart.gateway.node.SettingsResult
+import org.bilberrycart.platform.PlatformProtocol
+import org.bilberrycart.platform.PlatformRows
+import org.bilberrycart.platform.PlatformStore
+
+private const val SETTINGS_VARIABLE = "BILBERRYCART_SETTINGS"
+private const val BAD_SETTINGS = 78
+private val STORE_IDLE = 30.seconds
+
+/** Runs one node on the users' platform, with the settings file that the environment names. */
+fun main() {
+    val path = System.getenv(SETTINGS_VARIABLE) ?: fail("$SETTINGS_VARIABLE is not set")
+    when (val result = SettingsFile.read(Path.of(path))) {
+        is SettingsResult.Unusable -> fail(result.reason)
+        is SettingsResult.Read -> {
+            val store = PlatformStore(HttpClients.start("store", STORE_IDLE), result.settings.store)
+            val node = GatewayNode(result.settings, PlatformProtocol(), store, PlatformRows())
+            Runtime.getRuntime().addShutdownHook(Thread(node::stop))
+            node.start()
+        }
+    }
+}
+
+private fun fail(reason: String): Nothing {
+    System.err.println("bilberrycart: $reason")
+    exitProcess(BAD_SETTINGS)
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/entry/EntryFilter.kt
@@ -0,0 +1,108 @@
+package org.bilberrycart.gateway.entry
+
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import org.bilberrycart.gateway.model.Refusal
+import org.bilberrycart.gateway.model.RouteRule
+import org.bilberrycart.gateway.model.RoutedCall
+import org.bilberrycart.gateway.model.ServiceRule
+import org.bilberrycart.gateway.model.ServingConfiguration
+import org.bilberrycart.pipeline.Filter
+import org.bilberrycart.pipeline.Step
+import org.bilberrycart.pipeline.withActions
+
+/**
+ * Decides which route a call takes and whether its caller may take it.
+ *
+ * A configuration that is older than the one in force is ignored, so that nothing is taken back
+ * within the life of a process.
+ */
+public class EntryFilter : Filter<EntryState, EntryEvent, EntryAction> {
+    override fun step(
+        state: EntryState,
+        event: EntryEvent,
+        now: Duration,
+    ): Step<EntryState, EntryAction> = when (event) {
+        is EntryEvent.Configured -> configured(state, event.configuration)
+        is EntryEvent.Received -> received(state, event)
+    }
+
+    private fun configured(
+        state: EntryState,
+        configuration: ServingConfiguration,
+    ): Step<EntryState, EntryAction> {
+        val current = state.configuration
+        if (current != null && configuration.version <= current.version) return Step(state)
+        return state.copy(configuration = configuration)
+            .withActions(EntryAction.InForce(configuration))
+    }
+
+    private fun received(
+        state: EntryState,
+        event: EntryEvent.Received,
+    ): Step<EntryState, EntryAction> {
+        val configuration = state.configuration
+            ?: return refuse(state, event, Refusal.NotRun("no configuration yet", STARTING_WAIT))
+        val route = configuration.routeOf(event.head.host, event.head.path)
+            ?: return refuse(state, event, Refusal.UnknownRoute)
+        val organisation = event.head.credential?.let { configuration.organisations?.get(it) }
+        if (!route.isPublic && configuration.organisations != null && organisation == null) {
+            return refuse(state, event, Refusal.UnknownKey)
+        }
+        if (event.body.size > configuration.limits.bodyBytes) {
+            return refuse(state, event, Refusal.TooLarge)
+        }
+        val random = Random(state.seed)
+        val service = draw(configuration, route, random)
+            ?: return refuse(state, event, Refusal.NotRun("unknown service", STARTING_WAIT))
+        val call = route(event, route, service, organisation)
+        return state.copy(seed = random.nextLong())
+            .withActions(EntryAction.Forward(call, configuration.version))
+    }
+
+    private fun route(
+        event: EntryEvent.Received,
+        route: RouteRule,
+        service: ServiceRule,
+        organisation: String?,
+    ): RoutedCall {
+        val callerLeavesAt = event.arrivedAt + (event.head.timeLeft ?: route.timeout)
+        return RoutedCall(
+            key = event.key,
+            head = event.head,
+            body = event.body,
+            route = route,
+            service = service,
+            organisation = organisation,
+            arrivedAt = event.arrivedAt,
+            endsAt = minOf(event.arrivedAt + route.timeout, callerLeavesAt),
+            callerLeavesAt = callerLeavesAt,
+        )
+    }
+
+    private fun draw(
+        configuration: ServingConfiguration,
+        route: RouteRule,
+        random: Random,
+    ): ServiceRule? {
+        val total = route.targets.sumOf { it.weight }
+        if (total <= 0) return null
+        val drawn = random.nextInt(total)
+        val sums = route.targets.runningFold(0) { sum, target -> sum + target.weight }.drop(1)
+        return configuration.services[route.targets[sums.indexOfFirst { drawn < it }].service]
+    }
+
+    private fun refuse(
+        state: EntryState,
+        event: EntryEvent.Received,
+        refusal: Refusal,
+    ): Step<EntryState, EntryAction> = state.withActions(
+        EntryAction.Refuse(event.key, event.head, refusal, state.configuration?.version),
+    )
+
+    private companion object {
+        /** How soon a caller should come back to a node that is still starting. */
+        val STARTING_WAIT = 0.3.seconds
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/http/FrontServer.kt
@@ -0,0 +1,95 @@
+package org.bilberrycart.gateway.http
+
+import kotlin.time.Duration
+import org.eclipse.jetty.http.HttpCompliance
+import org.eclipse.jetty.http.UriCompliance
+import org.eclipse.jetty.server.ConnectionFactory
+import org.eclipse.jetty.server.Handler
+import org.eclipse.jetty.server.HttpConfiguration
+import org.eclipse.jetty.server.HttpConnectionFactory
+import org.eclipse.jetty.server.Request
+import org.eclipse.jetty.server.Response
+import org.eclipse.jetty.server.Server
+import org.eclipse.jetty.server.ServerConnector
+import org.eclipse.jetty.util.Callback
+import org.eclipse.jetty.util.thread.QueuedThreadPool
+
+/** The listening addresses of a node: callers on one, questions about the node on the others. */
+internal class FrontServer(
+    callers: Address,
+    status: List<Address>,
+    callerHandler: Handler,
+    private val statusHandler: Handler,
+) : AutoCloseable {
+    /** An address to listen on. */
+    data class Address(val host: String, val port: Int)
+
+    private val threads = QueuedThreadPool(MAX_THREADS, MIN_THREADS).apply { name = "http" }
+    private val server = Server(threads)
+    private val callerConfiguration = configuration()
+    private val callerConnector =
+        WatchingConnector(server, HttpConnectionFactory(callerConfiguration)).listen(callers)
+
+    init {
+        server.addConnector(callerConnector)
+        status.forEach { address ->
+            val http: ConnectionFactory = HttpConnectionFactory(configuration())
+            server.addConnector(ServerConnector(server, null, null, null, 0, 1, http).listen(address))
+        }
+        server.handler = Split(callerHandler)
+        server.stopAtShutdown = false
+    }
+
+    /** Starts to listen. */
+    fun start() = server.start()
+
+    /** Sets how long a connection may stay idle and how long the head of a request may be. */
+    fun limit(idle: Duration, headerBytes: Int) {
+        callerConnector.idleTimeout = idle.inWholeMilliseconds
+        callerConfiguration.requestHeaderSize = headerBytes
+    }
+
+    /** Takes no new connections from callers and closes those that are idle. */
+    fun stopAccepting() {
+        callerConnector.close()
+    }
+
+    override fun close() = server.stop()
+
+    private fun configuration() = HttpConfiguration().apply {
+        sendServerVersion = false
+        sendDateHeader = false
+        httpCompliance = HttpCompliance.RFC7230
+        uriCompliance = UriCompliance.UNSAFE
+    }
+
+    private fun <T : ServerConnector> T.listen(address: Address): T = apply {
+        host = address.host
+        port = address.port
+        acceptQueueSize = ACCEPT_QUEUE
+    }
+
+    /** Tells callers from others by the connector that they came in by. */
+    private inner class Split(private val callerHandler: Handler) :
+        Handler.Abstract.NonBlocking() {
+        override fun doStart() {
+            callerHandler.server = this@FrontServer.server
+            statusHandler.server = this@FrontServer.server
+            callerHandler.start()
+            statusHandler.start()
+            super.doStart()
+        }
+
+        override fun handle(request: Request, response: Response, callback: Callback): Boolean {
+            val isCaller = request.connectionMetaData.connector === callerConnector
+            val handler = if (isCaller) callerHandler else statusHandler
+            return handler.handle(request, response, callback)
+        }
+    }
+
+    private companion object {
+        const val MAX_THREADS = 10
+        const val MIN_THREADS = 4
+        const val ACCEPT_QUEUE = 512
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/http/WatchingConnector.kt
@@ -0,0 +1,27 @@
+package org.bilberrycart.gateway.http
+
+import java.nio.channels.SelectionKey
+import java.nio.channels.SocketChannel
+import org.eclipse.jetty.io.ManagedSelector
+import org.eclipse.jetty.io.SocketChannelEndPoint
+import org.eclipse.jetty.server.HttpConnectionFactory
+import org.eclipse.jetty.server.Server
+import org.eclipse.jetty.server.ServerConnector
+
+/** A connector whose connections notice that their callers leave. */
+internal class WatchingConnector(server: Server, http: HttpConnectionFactory) :
+    ServerConnector(server, null, null, null, ACCEPTORS, SELECTORS, http) {
+    override fun newEndPoint(
+        channel: SocketChannel,
+        selectSet: ManagedSelector,
+        key: SelectionKey,
+    ): SocketChannelEndPoint = CloseWatch(channel, selectSet, key, scheduler).also {
+        it.idleTimeout = idleTimeout
+    }
+
+    private companion object {
+        /** Connections are accepted on the selector's own thread. */
+        const val ACCEPTORS = 0
+        const val SELECTORS = 1
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/lifecycle/LifecycleAction.kt
@@ -0,0 +1,16 @@
+package org.bilberrycart.gateway.lifecycle
+
+/** What the life cycle asks for. */
+public sealed class LifecycleAction {
+    /** Say that the node is ready, or that it isn't. */
+    public data class Ready(val isReady: Boolean, val why: String) : LifecycleAction()
+
+    /** Take no new connections. */
+    public data object StopAccepting : LifecycleAction()
+
+    /** Break off what is still open. */
+    public data class BreakOff(val openCalls: Int) : LifecycleAction()
+
+    /** End the process. */
+    public data class Exit(val openCalls: Int) : LifecycleAction()
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/model/EngineRule.kt
@@ -0,0 +1,10 @@
+package org.bilberrycart.gateway.model
+
+/**
+ * What the model engines of a service can do.
+ *
+ * @property slots how many generations one engine runs at once.
+ * @property memoryTokens how many tokens of context fit into one engine.
+ * @property keepsBackups whether an engine can send the memory of a run to another as it grows.
+ */
+public data class EngineRule(val slots: Int, val memoryTokens: Int, val keepsBackups: Boolean)
--- /dev/null
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/model/Keys.kt
@@ -0,0 +1,16 @@
+package org.bilberrycart.gateway.model
+
+/** The number that a node gives to a call when it arrives; unique within the process. */
+@JvmInline
+public value class CallKey(public val number: Long)
+
+/** One sending of a call to an upstream; [number] counts from 1. */
+public data class AttemptKey(val call: CallKey, val number: Int)
+
+/** The id under which one incarnation of an upstream registered. */
+@JvmInline
+public value class UpstreamId(public val value: String)
+
+/** The name of a service. */
+@JvmInline
+public value class ServiceName(public val value: String)
--- /dev/null
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DecisionLog.kt
@@ -0,0 +1,104 @@
+package org.bilberrycart.gateway.node
+
+import org.bilberrycart.gateway.discovery.DiscoveryAction
+import org.bilberrycart.gateway.entry.EntryAction
+import org.bilberrycart.gateway.lifecycle.LifecycleAction
+import org.bilberrycart.gateway.placement.PlacementAction
+import org.bilberrycart.gateway.placement.SendOrder
+import org.slf4j.LoggerFactory
+
+/** One line for each decision: `event=name`, the request's id, what decided it and the outcome. */
+internal class DecisionLog(private val node: String) {
+    fun started(settings: GatewaySettings) =
+        log.info("event=started node={} callers={} store={}", node, settings.callers, settings.store)
+
+    fun entry(action: EntryAction) = when (action) {
+        is EntryAction.Forward -> log.info(
+            "event=accepted request={} route={} service={} organisation={} configuration={}",
+            action.call.head.requestId,
+            action.call.route.name,
+            action.call.service.name.value,
+            action.call.organisation,
+            action.version,
+        )
+        is EntryAction.Refuse -> log.info(
+            "event=refused request={} code={} reason=\"{}\" configuration={}",
+            action.head.requestId,
+            action.refusal.code,
+            action.refusal.reason,
+            action.version,
+        )
+        is EntryAction.InForce ->
+            log.info("event=configuration_in_force version={}", action.configuration.version)
+    }
+
+    fun placement(action: PlacementAction) = when (action) {
+        is PlacementAction.Send -> sent(action.order, action.why)
+        is PlacementAction.Cancel -> log.info(
+            "event=attempt_cancelled call={} attempt={} upstream={} why=\"{}\"",
+            action.attempt.call.number,
+            action.attempt.number,
+            action.upstream.value,
+            action.why,
+        )
+        is PlacementAction.Deliver -> log.info(
+            "event=answered request={} status={} bytes={}",
+            action.requestId,
+            action.answer.head.status,
+            action.answer.body.size,
+        )
+        is PlacementAction.Refuse -> log.info(
+            "event=refused request={} code={} reason=\"{}\"",
+            action.requestId,
+            action.refusal.code,
+            action.refusal.reason,
+        )
+        is PlacementAction.Abort ->
+            log.info("event=stream_aborted request={} why=\"{}\"", action.requestId, action.why)
+        is PlacementAction.Forget ->
+            log.info("event=call_ended request={} why=\"{}\"", action.requestId, action.why)
+        is PlacementAction.Probe -> log.info(
+            "event=probe upstream={} silent_ms={}",
+            action.upstream.id.value,
+            action.silentMillis,
+        )
+        is PlacementAction.Believe -> log.info(
+            "event=upstream_{} upstream={} why=\"{}\"",
+            action.belief,
+            action.upstream.value,
+            action.why,
+        )
+    }
+
+    fun discovery(action: DiscoveryAction.Store) = log.info(
+        "event=store_{} table={} cause=\"{}\"",
+        if (action.isBack) "back" else "lost",
+        action.table,
+        action.cause,
+    )
+
+    fun published(action: DiscoveryAction.Publish, unreadable: List<String>) = log.info(
+        "event=table_read table={} rows={} unreadable={}",
+        action.table,
+        action.rows.size,
+        unreadable,
+    )
+
+    fun lifecycle(action: LifecycleAction) = log.info("event=lifecycle action=\"{}\"", action)
+
+    private fun sent(order: SendOrder, why: String) = log.info(
+        "event=sent request={} call={} attempt={} upstream={} backup={} copy={} left_ms={} why=\"{}\"",
+        order.call.head.requestId,
+        order.attempt.call.number,
+        order.attempt.number,
+        order.upstream.id.value,
+        order.backup?.id?.value,
+        order.resumesFrom?.run,
+        order.timeLeft.inWholeMilliseconds,
+        why,
+    )
+
+    private companion object {
+        val log = LoggerFactory.getLogger(DecisionLog::class.java)
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/CallState.kt
@@ -0,0 +1,46 @@
+package org.bilberrycart.gateway.placement
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.persistentSetOf
+import org.bilberrycart.gateway.model.RoutedCall
+import org.bilberrycart.gateway.model.UpstreamAnswer
+import org.bilberrycart.gateway.model.UpstreamId
+
+/**
+ * What placement knows of one call.
+ *
+ * @property attempts those under way, by number.
+ * @property sendings how often the call was sent, whatever came of it.
+ * @property runs how many of the sendings may have run.
+ * @property tried the upstreams that it was sent to.
+ * @property losses how many upstreams broke off while they had the call.
+ * @property isOpen whether the caller has received the head of a stream.
+ * @property copy where the memory of its lost run lies.
+ * @property failure a failed answer to give if no better one comes.
+ */
+public data class CallState(
+    val call: RoutedCall,
+    val attempts: PersistentMap<Int, Attempt> = persistentMapOf(),
+    val sendings: Int = 0,
+    val runs: Int = 0,
+    val tried: PersistentSet<UpstreamId> = persistentSetOf(),
+    val losses: Int = 0,
+    val isOpen: Boolean = false,
+    val copy: MemoryCopy? = null,
+    val failure: UpstreamAnswer? = null,
+) {
+    /** Whether it waits for an upstream. */
+    public val isWaiting: Boolean
+        get() = attempts.isEmpty()
+
+    /** Whether it may be sent once more, as far as its route says. */
+    public val hasAttemptsLeft: Boolean
+        get() = runs < call.route.maxAttempts && sendings < call.route.maxAttempts + EXTRA_SENDINGS
+
+    private companion object {
+        /** Sendings beyond the route's limit for those that certainly did not run. */
+        const val EXTRA_SENDINGS = 4
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementAction.kt
@@ -0,0 +1,42 @@
+package org.bilberrycart.gateway.placement
+
+import org.bilberrycart.gateway.model.AttemptKey
+import org.bilberrycart.gateway.model.CallKey
+import org.bilberrycart.gateway.model.Refusal
+import org.bilberrycart.gateway.model.UpstreamAnswer
+import org.bilberrycart.gateway.model.UpstreamEntry
+import org.bilberrycart.gateway.model.UpstreamId
+
+/** What placement asks for. */
+public sealed class PlacementAction {
+    /** Send a call; [why] says what led to this upstream. */
+    public data class Send(val order: SendOrder, val why: String) : PlacementAction()
+
+    /** Break off an attempt. */
+    public data class Cancel(val attempt: AttemptKey, val upstream: UpstreamId, val why: String) :
+        PlacementAction()
+
+    /** Give the caller an upstream's answer. */
+    public data class Deliver(val key: CallKey, val requestId: String, val answer: UpstreamAnswer) :
+        PlacementAction()
+
+    /** Give the caller an answer of the node's own. */
+    public data class Refuse(val key: CallKey, val requestId: String, val refusal: Refusal) :
+        PlacementAction()
+
+    /** Break off a stream of which the caller has a part. */
+    public data class Abort(val key: CallKey, val requestId: String, val why: String) :
+        PlacementAction()
+
+    /** Forget a call whose caller has its answer or has gone. */
+    public data class Forget(val key: CallKey, val requestId: String, val why: String) :
+        PlacementAction()
+
+    /** Ask an upstream for a sign of life. */
+    public data class Probe(val upstream: UpstreamEntry, val silentMillis: Long) :
+        PlacementAction()
+
+    /** Say that the belief about an upstream has changed. */
+    public data class Believe(val upstream: UpstreamId, val belief: String, val why: String) :
+        PlacementAction()
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementFilter.kt
@@ -0,0 +1,126 @@
+package org.bilberrycart.gateway.placement
+
+import kotlin.time.Duration
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.toPersistentList
+import org.bilberrycart.gateway.model.AttemptKey
+import org.bilberrycart.gateway.model.UpstreamEntry
+import org.bilberrycart.pipeline.Filter
+import org.bilberrycart.pipeline.Step
+
+/** Decides where each call goes, when it is sent again, and when it ends. */
+public class PlacementFilter(settings: PlacementSettings = PlacementSettings()) :
+    Filter<PlacementState, PlacementEvent, PlacementAction> {
+    private val placing = Placing(settings)
+    private val losses = Losses(settings, placing)
+    private val answers = Answers(losses)
+    private val ticks = Ticks(settings, placing, losses)
+
+    override fun step(
+        state: PlacementState,
+        event: PlacementEvent,
+        now: Duration,
+    ): Step<PlacementState, PlacementAction> = when (event) {
+        is PlacementEvent.Submit -> placing.place(state, CallState(event.call), now, "new")
+        is PlacementEvent.CallerGone ->
+            state.calls[event.key]?.let { Ending.forget(state, it, "caller gone") } ?: Step(state)
+        is PlacementEvent.Answered -> answers.answered(state, event.attempt, event.answer, now)
+        is PlacementEvent.Unsent -> losses.unsent(state, event.attempt, event.cause, now)
+        is PlacementEvent.Broken -> losses.broken(state, event.attempt, event.cause, now)
+        is PlacementEvent.StreamOpened -> moved(state, event.attempt, now, hasEvents = false)
+        is PlacementEvent.StreamMoved -> moved(state, event.attempt, now, hasEvents = true)
+        is PlacementEvent.StreamEnded -> ended(state, event.attempt, now)
+        is PlacementEvent.Registered -> registered(state, event.entries)
+        is PlacementEvent.Probed -> probed(state, event, now)
+        is PlacementEvent.LoadElsewhere -> Step(elsewhere(state, event))
+        PlacementEvent.Tick -> ticks.tick(state, now)
+    }
+
+    private fun moved(
+        state: PlacementState,
+        key: AttemptKey,
+        now: Duration,
+        hasEvents: Boolean,
+    ): Step<PlacementState, PlacementAction> {
+        val call = state.calls[key.call] ?: return Step(state)
+        val attempt = call.attempts[key.number] ?: return Step(state)
+        val moved = attempt.copy(heardAt = now, hasEvents = attempt.hasEvents || hasEvents)
+        val next = call.copy(attempts = call.attempts.put(key.number, moved), isOpen = true)
+        return Step(state.with(next).update(attempt.upstream) { it.heard(now) })
+    }
+
+    private fun ended(
+        state: PlacementState,
+        key: AttemptKey,
+        now: Duration,
+    ): Step<PlacementState, PlacementAction> {
+        val call = state.calls[key.call] ?: return Step(state)
+        val attempt = call.attempts[key.number] ?: return Step(state)
+        val heard = state.update(attempt.upstream) { it.heard(now) }
+        return Ending.forget(heard, call, "stream complete", winner = key.number)
+    }
+
+    private fun probed(
+        state: PlacementState,
+        event: PlacementEvent.Probed,
+        now: Duration,
+    ): Step<PlacementState, PlacementAction> {
+        val view = state.upstreams[event.upstream] ?: return Step(state)
+        return when {
+            event.isAlive -> Step(state.with(view.heard(now)))
+            view.probeSentAt == null -> Step(state)
+            else -> losses.dead(state, event.upstream, event.cause, now)
+        }
+    }
+
+    private fun elsewhere(
+        state: PlacementState,
+        event: PlacementEvent.LoadElsewhere,
+    ): PlacementState = state.upstreams.values.fold(state) { next, view ->
+        next.with(view.copy(elsewhere = event.attempts[view.entry.id] ?: 0))
+    }
+
+    private fun registered(
+        state: PlacementState,
+        entries: PersistentList<UpstreamEntry>,
+    ): Step<PlacementState, PlacementAction> {
+        val listed = entries.associateBy { it.id }
+        val gone = state.upstreams.values.filter { it.entry.id !in listed }
+        val merged = entries.fold(state) { next, entry ->
+            val known = state.upstreams[entry.id]
+            val isSame = known != null && known.entry.bornMillis == entry.bornMillis
+            next.with(if (isSame) known!!.copy(entry = entry) else renewed(entry, known))
+        }
+        val without = gone.fold(merged) { next, view ->
+            when {
+                view.running == 0 && view.copies == 0 ->
+                    next.copy(upstreams = next.upstreams.remove(view.entry.id))
+                else -> next.with(view.copy(entry = view.entry.copy(isLeaving = true)))
+            }
+        }
+        return Step(without, beliefs(state, entries, gone))
+    }
+
+    private fun renewed(entry: UpstreamEntry, known: UpstreamView?): UpstreamView =
+        UpstreamView(entry, running = known?.running ?: 0, copies = known?.copies ?: 0)
+
+    private fun beliefs(
+        state: PlacementState,
+        entries: PersistentList<UpstreamEntry>,
+        gone: List<UpstreamView>,
+    ): PersistentList<PlacementAction> {
+        val changed = entries.mapNotNull { entry ->
+            val known = state.upstreams[entry.id]?.entry
+            when {
+                known == null -> PlacementAction.Believe(entry.id, "listed", entry.toString())
+                known.bornMillis != entry.bornMillis ->
+                    PlacementAction.Believe(entry.id, "restarted", entry.toString())
+                !known.isLeaving && entry.isLeaving ->
+                    PlacementAction.Believe(entry.id, "leaving", "registry")
+                else -> null
+            }
+        }
+        return (changed + gone.filterNot { it.entry.isLeaving && it.running > 0 }
+            .map { PlacementAction.Believe(it.entry.id, "gone", "registry") }).toPersistentList()
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementState.kt
@@ -0,0 +1,26 @@
+package org.bilberrycart.gateway.placement
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import org.bilberrycart.gateway.model.CallKey
+import org.bilberrycart.gateway.model.ServiceName
+import org.bilberrycart.gateway.model.UpstreamId
+
+/** Everything that placement knows: upstreams, calls under way and the use of the budget. */
+public data class PlacementState(
+    val upstreams: PersistentMap<UpstreamId, UpstreamView> = persistentMapOf(),
+    val calls: PersistentMap<CallKey, CallState> = persistentMapOf(),
+    val budgets: PersistentMap<ServiceName, RepeatBudget> = persistentMapOf(),
+    val seed: Long = 1,
+) {
+    internal fun with(view: UpstreamView): PlacementState =
+        copy(upstreams = upstreams.put(view.entry.id, view))
+
+    internal fun with(call: CallState): PlacementState =
+        copy(calls = calls.put(call.call.key, call))
+
+    internal fun update(
+        id: UpstreamId?,
+        change: (UpstreamView) -> UpstreamView,
+    ): PlacementState = upstreams[id]?.let { with(change(it)) } ?: this
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/Placing.kt
@@ -0,0 +1,95 @@
+package org.bilberrycart.gateway.placement
+
+import kotlin.time.Duration
+import kotlinx.collections.immutable.persistentListOf
+import org.bilberrycart.gateway.model.AttemptKey
+import org.bilberrycart.gateway.model.RepeatRule
+import org.bilberrycart.gateway.model.ServiceName
+import org.bilberrycart.pipeline.Step
+
+/** Sends calls to upstreams, within the limits of their routes and of the repeat budget. */
+internal class Placing(private val settings: PlacementSettings) {
+    /**
+     * Sends [call] to the best upstream, keeps it waiting if there is none, or ends it if it may
+     * not be sent again.
+     */
+    fun place(
+        state: PlacementState,
+        call: CallState,
+        now: Duration,
+        why: String,
+    ): Step<PlacementState, PlacementAction> {
+        val waiting = state.with(call)
+        return when {
+            now >= call.call.endsAt -> Ending.giveUp(waiting, call, "time is over, $why", now)
+            !call.hasAttemptsLeft -> Ending.giveUp(waiting, call, "no attempt left, $why", now)
+            !isInBudget(state, call, now) ->
+                Ending.giveUp(waiting, call, "repeat budget is used up, $why", now)
+            else -> send(waiting, call, now, why)
+        }
+    }
+
+    /** Sends one more attempt of [call] beside those under way, if another upstream is free. */
+    fun hedge(
+        state: PlacementState,
+        call: CallState,
+        now: Duration,
+    ): Step<PlacementState, PlacementAction> {
+        val choice = Chooser(state, now).choose(call)
+        val mayHedge = call.hasAttemptsLeft && isInBudget(state, call, now) &&
+            choice != null && choice.entry.id !in call.tried
+        return if (mayHedge) send(state, call, now, "hedge") else Step(state)
+    }
+
+    private fun isInBudget(state: PlacementState, call: CallState, now: Duration): Boolean =
+        call.sendings == 0 || budget(state, call.call.service.name).allows(now)
+
+    private fun budget(state: PlacementState, service: ServiceName): RepeatBudget =
+        state.budgets[service] ?: RepeatBudget(
+            window = settings.repeatWindow,
+            ratio = settings.repeatRatio,
+            slack = settings.repeatSlack,
+        )
+
+    private fun send(
+        state: PlacementState,
+        call: CallState,
+        now: Duration,
+        why: String,
+    ): Step<PlacementState, PlacementAction> {
+        val chooser = Chooser(state, now)
+        val holder = chooser.holder(call.copy)
+        val main = holder ?: chooser.choose(call) ?: return Step(state)
+        val backup = when (call.call.route.repeat) {
+            is RepeatRule.Stream -> chooser.chooseBackup(call.call, main)
+            RepeatRule.Idempotent, RepeatRule.Once -> null
+        }
+        val attempt = Attempt(
+            number = call.sendings + 1,
+            upstream = main.entry.id,
+            sentAt = now,
+            backup = backup?.entry?.id,
+        )
+        val order = SendOrder(
+            attempt = AttemptKey(call.call.key, attempt.number),
+            call = call.call,
+            upstream = main.entry,
+            timeLeft = call.call.endsAt - now,
+            backup = backup?.entry,
+            resumesFrom = call.copy.takeIf { holder != null },
+            isUrgent = call.isOpen,
+        )
+        val sent = call.copy(
+            attempts = call.attempts.put(attempt.number, attempt),
+            sendings = call.sendings + 1,
+            runs = call.runs + 1,
+            tried = call.tried.add(main.entry.id),
+            copy = null,
+        )
+        val service = call.call.service.name
+        val counted = budget(state, service).counted(now, isRepeat = call.sendings > 0)
+        val next = state.with(sent).counted(attempt, +1)
+            .copy(budgets = state.budgets.put(service, counted), seed = chooser.nextSeed)
+        return Step(next, persistentListOf(PlacementAction.Send(order, why)))
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/RepeatBudget.kt
@@ -0,0 +1,48 @@
+package org.bilberrycart.gateway.placement
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
+
+/**
+ * How often calls of one service were sent, by second, within the window of the shared budget.
+ *
+ * @property window the span over which the budget counts.
+ * @property ratio how many repeats a first sending allows.
+ * @property slack repeats that this node may make beyond that in a window.
+ */
+public data class RepeatBudget(
+    val window: Duration,
+    val ratio: Double,
+    val slack: Double,
+    private val seconds: PersistentList<Second> = persistentListOf(),
+) {
+    /** The sendings of one second. */
+    public data class Second(val number: Long, val firsts: Int, val repeats: Int)
+
+    /** Whether one more repeat is within the budget at [now]. */
+    public fun allows(now: Duration): Boolean {
+        val recent = seconds.filter { it.number >= now.inWholeSeconds - window.inWholeSeconds }
+        return recent.sumOf { it.repeats } + 1 <= ratio * recent.sumOf { it.firsts } + slack
+    }
+
+    /** Returns the budget after a sending at [now]. */
+    public fun counted(now: Duration, isRepeat: Boolean): RepeatBudget {
+        val number = now.inWholeSeconds
+        val current = seconds.lastOrNull()?.takeIf { it.number == number } ?: Second(number, 0, 0)
+        val counted = when {
+            isRepeat -> current.copy(repeats = current.repeats + 1)
+            else -> current.copy(firsts = current.firsts + 1)
+        }
+        val kept = seconds.filter {
+            it.number != number && it.number >= number - (window + MARGIN).inWholeSeconds
+        }
+        return copy(seconds = (kept + counted).toPersistentList())
+    }
+
+    private companion object {
+        val MARGIN = 1.seconds
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/relay/RelayFilter.kt
@@ -0,0 +1,115 @@
+package org.bilberrycart.gateway.relay
+
+import kotlin.time.Duration
+import kotlinx.collections.immutable.persistentListOf
+import org.bilberrycart.gateway.model.AttemptKey
+import org.bilberrycart.gateway.model.Body
+import org.bilberrycart.gateway.placement.PlacementEvent
+import org.bilberrycart.pipeline.Filter
+import org.bilberrycart.pipeline.Step
+import org.bilberrycart.pipeline.withActions
+
+/**
+ * Keeps each stream whole: only events of the current attempt, each once and in order, go on.
+ *
+ * A sending takes the position of the stream from here, so that a resumed run starts behind exactly
+ * what the caller was given. Bytes of earlier attempts are dropped.
+ */
+public class RelayFilter : Filter<RelayState, RelayEvent, RelayAction> {
+    override fun step(
+        state: RelayState,
+        event: RelayEvent,
+        now: Duration,
+    ): Step<RelayState, RelayAction> = when (event) {
+        is RelayEvent.Begin -> begin(state, event)
+        is RelayEvent.Opened -> opened(state, event)
+        is RelayEvent.Chunk -> chunk(state, event)
+        is RelayEvent.Ended -> ended(state, event.attempt)
+        is RelayEvent.Failed -> failed(state, event)
+        is RelayEvent.Stop -> stop(state, event)
+    }
+
+    private fun begin(state: RelayState, event: RelayEvent.Begin): Step<RelayState, RelayAction> {
+        val key = event.order.attempt.call
+        val known = state.streams[key]
+        val stream = known?.copy(current = event.order.attempt, rest = Body.EMPTY)
+            ?: RelayedStream(
+                current = event.order.attempt,
+                requestId = event.order.call.head.requestId,
+                lastEvent = event.order.call.head.lastEvent,
+            )
+        return state.with(stream).withActions(RelayAction.Send(event.order, stream.lastEvent))
+    }
+
+    private fun opened(state: RelayState, event: RelayEvent.Opened): Step<RelayState, RelayAction> {
+        val stream = current(state, event.attempt)
+            ?: return state.withActions(RelayAction.Drop(event.attempt))
+        val report = RelayAction.Report(PlacementEvent.StreamOpened(event.attempt))
+        return when {
+            stream.isOpen -> state.withActions(report)
+            else -> state.with(stream.copy(isOpen = true)).withActions(
+                RelayAction.Open(event.attempt.call, event.head),
+                report,
+            )
+        }
+    }
+
+    private fun chunk(state: RelayState, event: RelayEvent.Chunk): Step<RelayState, RelayAction> {
+        val stream = current(state, event.attempt)
+            ?: return state.withActions(RelayAction.Drop(event.attempt))
+        val frames = EventFrames.split(stream.rest, event.bytes)
+        val next = stream.copy(rest = frames.rest)
+        return when {
+            frames.ids.isEmpty() -> state.with(next).withActions(RelayAction.Demand(event.attempt))
+            !follow(stream.lastEvent, frames.ids) -> state.with(next).withActions(
+                RelayAction.Drop(event.attempt),
+                broken(event.attempt, "events ${frames.ids} behind ${stream.lastEvent}"),
+            )
+            else -> state.with(next.copy(lastEvent = frames.ids.last())).withActions(
+                RelayAction.Write(event.attempt, frames.whole),
+                RelayAction.Report(PlacementEvent.StreamMoved(event.attempt)),
+            )
+        }
+    }
+
+    /** Whether each event follows the one before without a gap. */
+    private fun follow(last: Long?, ids: List<Long?>): Boolean {
+        val before = listOf(last) + ids.dropLast(1)
+        return before.zip(ids).all { (a, b) -> b != null && (a == null || b == a + 1) }
+    }
+
+    private fun ended(state: RelayState, attempt: AttemptKey): Step<RelayState, RelayAction> {
+        val stream = current(state, attempt) ?: return Step(state)
+        return when {
+            stream.rest.size > 0 || !stream.isOpen ->
+                state.withActions(broken(attempt, "ended within an event"))
+            else -> Step(
+                state.copy(streams = state.streams.remove(attempt.call)),
+                persistentListOf(
+                    RelayAction.Complete(attempt.call),
+                    RelayAction.Report(PlacementEvent.StreamEnded(attempt)),
+                ),
+            )
+        }
+    }
+
+    private fun failed(state: RelayState, event: RelayEvent.Failed): Step<RelayState, RelayAction> =
+        when (current(state, event.attempt)) {
+            null -> Step(state)
+            else -> state.withActions(broken(event.attempt, event.cause))
+        }
+
+    private fun stop(state: RelayState, event: RelayEvent.Stop): Step<RelayState, RelayAction> {
+        val next = state.copy(streams = state.streams.remove(event.key))
+        return if (event.isAborted) next.withActions(RelayAction.Abort(event.key)) else Step(next)
+    }
+
+    private fun current(state: RelayState, attempt: AttemptKey): RelayedStream? =
+        state.streams[attempt.call]?.takeIf { it.current == attempt }
+
+    private fun broken(attempt: AttemptKey, cause: String): RelayAction =
+        RelayAction.Report(PlacementEvent.Broken(attempt, cause))
+
+    private fun RelayState.with(stream: RelayedStream): RelayState =
+        copy(streams = streams.put(stream.current.call, stream))
+}
