Test the gateway's filters with tables of cases

Cause: the filters of the gateway had no tests of their own; a broken rule would have shown on the bench only.

--- /dev/null
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/Samples.kt
@@ -0,0 +1,103 @@
+package org.bilberrycart.gateway
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.collections.immutable.persistentListOf
+import org.bilberrycart.gateway.model.AnswerHead
+import org.bilberrycart.gateway.model.Body
+import org.bilberrycart.gateway.model.CallHead
+import org.bilberrycart.gateway.model.CallKey
+import org.bilberrycart.gateway.model.EngineRule
+import org.bilberrycart.gateway.model.RepeatRule
+import org.bilberrycart.gateway.model.RouteRule
+import org.bilberrycart.gateway.model.RoutedCall
+import org.bilberrycart.gateway.model.ServiceName
+import org.bilberrycart.gateway.model.ServiceRule
+import org.bilberrycart.gateway.model.UpstreamAnswer
+import org.bilberrycart.gateway.model.UpstreamEntry
+import org.bilberrycart.gateway.model.UpstreamId
+import org.bilberrycart.gateway.model.WeightedService
+
+/** Values that several tests start from. */
+object Samples {
+    val desk = ServiceName("desk")
+
+    fun head(id: String = "r1", path: String = "/a/x") = CallHead(
+        requestId = id,
+        method = "POST",
+        target = path,
+        host = "club.example",
+        headers = persistentListOf(),
+    )
+
+    fun route(
+        repeat: RepeatRule,
+        attempts: Int = 2,
+        timeout: Duration = 2.seconds,
+        objective: Duration = 400.milliseconds,
+    ) = RouteRule(
+        name = "r",
+        host = "club.example",
+        prefix = "/a/",
+        repeat = repeat,
+        timeout = timeout,
+        objective = objective,
+        maxAttempts = attempts,
+        isPublic = false,
+        targets = persistentListOf(WeightedService(desk, 1)),
+    )
+
+    fun service(hasBackups: Boolean = false) = ServiceRule(
+        name = desk,
+        healthPath = "/health",
+        maxConnections = 100,
+        engine = EngineRule(slots = 8, memoryTokens = 1000, keepsBackups = hasBackups),
+    )
+
+    fun call(
+        route: RouteRule,
+        key: Long = 1,
+        hasBackups: Boolean = false,
+        arrivedAt: Duration = Duration.ZERO,
+    ) = RoutedCall(
+        key = CallKey(key),
+        head = head("r$key"),
+        body = Body.EMPTY,
+        route = route,
+        service = service(hasBackups),
+        organisation = "club",
+        arrivedAt = arrivedAt,
+        endsAt = arrivedAt + route.timeout,
+        callerLeavesAt = arrivedAt + route.timeout,
+    )
+
+    fun entry(id: String, dataCentre: String = "east", isLeaving: Boolean = false, born: Long = 1) =
+        UpstreamEntry(
+            id = UpstreamId(id),
+            service = desk,
+            host = "10.0.0.1",
+            port = 80,
+            dataCentre = dataCentre,
+            slots = 8,
+            isLeaving = isLeaving,
+            bornMillis = born,
+        )
+
+    fun answer(
+        status: Int,
+        id: String? = "r1",
+        isSigned: Boolean = true,
+        didNotRun: Boolean = false,
+    ) = UpstreamAnswer(
+        AnswerHead(
+            status = status,
+            headers = persistentListOf(),
+            requestId = id,
+            isSigned = isSigned,
+            didNotRun = didNotRun,
+            isMisdirected = status == 421,
+        ),
+        Body.of("x"),
+    )
+}
--- /dev/null
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/discovery/DiscoveryFilterTest.kt
@@ -0,0 +1,122 @@
+package org.bilberrycart.gateway.discovery
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.datatest.withData
+import io.kotest.engine.names.WithDataTestName
+import io.kotest.matchers.shouldBe
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.collections.immutable.toPersistentList
+import org.bilberrycart.gateway.model.Body
+
+private data class DiscoveryCase(
+    val name: String,
+    val before: List<StoreReply>,
+    val wait: Duration = 1.seconds,
+    val last: DiscoveryEvent,
+    val actions: List<String>,
+) : WithDataTestName {
+    override fun dataTestName(): String = name
+}
+
+private fun row(key: String) = StoreRow(key, Body.of("{}"), 1)
+
+private fun page(vararg keys: String, next: String? = null) =
+    StoreReply.Page(keys.map(::row).toPersistentList(), 7, next)
+
+private fun gone(key: String, version: Long = 9) =
+    StoreReply.Changes(listOf(StoreRow(key, null, version)).toPersistentList(), version)
+
+private fun back(key: String) =
+    StoreReply.Changes(listOf(row(key)).toPersistentList(), version = 10)
+
+private fun replied(reply: StoreReply) = DiscoveryEvent.Replied(StoreTable.UPSTREAMS, reply)
+
+class DiscoveryFilterTest :
+    FunSpec({
+        fun tell(action: DiscoveryAction): String = when (action) {
+            is DiscoveryAction.Read -> "read from ${action.from}"
+            is DiscoveryAction.Follow -> "follow ${action.version}"
+            is DiscoveryAction.Publish ->
+                "publish " + action.rows.map { it.key }.sorted().joinToString("")
+            is DiscoveryAction.Store -> if (action.isBack) "back" else "lost"
+        }
+
+        fun check(case: DiscoveryCase) {
+            val filter = DiscoveryFilter()
+            var now = Duration.ZERO
+            val state = case.before.fold(DiscoveryState()) { state, reply ->
+                now += 0.1.seconds
+                filter.step(state, replied(reply), now).state
+            }
+            filter.step(state, case.last, now + case.wait).actions.map(::tell) shouldBe case.actions
+        }
+
+        context("a table is read once and then followed") {
+            withData(
+                DiscoveryCase(
+                    "the last page is published and followed",
+                    emptyList(),
+                    last = replied(page("a", "b")),
+                    actions = listOf("publish ab", "follow 7"),
+                ),
+                DiscoveryCase(
+                    "pages are joined",
+                    listOf(page("a", next = "a0")),
+                    last = replied(page("b")),
+                    actions = listOf("publish ab", "follow 7"),
+                ),
+                DiscoveryCase(
+                    "a change is published",
+                    listOf(page("a", "b")),
+                    last = replied(gone("a")),
+                    actions = listOf("publish b", "follow 9"),
+                ),
+                DiscoveryCase(
+                    "lost history is read anew",
+                    listOf(page("a")),
+                    last = replied(StoreReply.HistoryLost),
+                    actions = listOf("read from null"),
+                ),
+                DiscoveryCase(
+                    "a failure is tried again",
+                    listOf(page("a")),
+                    last = replied(StoreReply.Failed("503")),
+                    actions = listOf("follow 7", "lost"),
+                ),
+            ) { check(it) }
+        }
+
+        context("rows that vanish while the store is away") {
+            val away = listOf(page("a", "b"), StoreReply.Failed("reset"))
+            withData(
+                DiscoveryCase(
+                    "still count when it has just returned",
+                    away,
+                    last = replied(gone("a")),
+                    actions = listOf("publish ab", "follow 9", "back"),
+                ),
+                DiscoveryCase(
+                    "are gone when they do not come back in time",
+                    away + gone("a"),
+                    wait = 2.5.seconds,
+                    last = DiscoveryEvent.Tick,
+                    actions = listOf("publish b"),
+                ),
+                DiscoveryCase(
+                    "count as usual when they are back",
+                    away + gone("a") + back("a"),
+                    wait = 2.5.seconds,
+                    last = DiscoveryEvent.Tick,
+                    actions = emptyList(),
+                ),
+                DiscoveryCase(
+                    "vanish at once when the store has been back for long",
+                    away + gone("a"),
+                    wait = 3.seconds,
+                    last = replied(gone("b", version = 11)),
+                    actions = listOf("publish a", "follow 11"),
+                ),
+            ) { check(it) }
+        }
+    })
--- /dev/null
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/entry/EntryFilterTest.kt
@@ -0,0 +1,131 @@
+package org.bilberrycart.gateway.entry
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.datatest.withData
+import io.kotest.engine.names.WithDataTestName
+import io.kotest.matchers.shouldBe
+import kotlin.time.Duration
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import org.bilberrycart.gateway.Samples
+import org.bilberrycart.gateway.model.Body
+import org.bilberrycart.gateway.model.CallHead
+import org.bilberrycart.gateway.model.CallKey
+import org.bilberrycart.gateway.model.Refusal
+import org.bilberrycart.gateway.model.RepeatRule
+import org.bilberrycart.gateway.model.RequestLimits
+import org.bilberrycart.gateway.model.ServingConfiguration
+
+private data class EntryCase(
+    val name: String,
+    val configurations: List<ServingConfiguration>,
+    val head: CallHead,
+    val body: Body = Body.EMPTY,
+    val outcome: String,
+) : WithDataTestName {
+    override fun dataTestName(): String = name
+}
+
+private fun configuration(
+    version: Long = 1,
+    keys: PersistentMap<String, String>? = persistentMapOf("k1" to "club"),
+    isPublic: Boolean = false,
+) = ServingConfiguration(
+    version = version,
+    routes = persistentListOf(
+        Samples.route(RepeatRule.Once).copy(name = "short", isPublic = isPublic),
+        Samples.route(RepeatRule.Once).copy(name = "long", prefix = "/a/b/", isPublic = isPublic),
+    ),
+    services = persistentMapOf(Samples.desk to Samples.service()),
+    limits = RequestLimits(bodyBytes = 3),
+    organisations = keys,
+)
+
+private fun head(path: String = "/a/x", key: String? = "k1") =
+    Samples.head(path = path).copy(credential = key)
+
+class EntryFilterTest :
+    FunSpec({
+        withData(
+            EntryCase("no configuration yet", emptyList(), head(), outcome = "NotRun"),
+            EntryCase("a known key", listOf(configuration()), head(), outcome = "short club 1"),
+            EntryCase(
+                "the longest prefix wins",
+                listOf(configuration()),
+                head("/a/b/c"),
+                outcome = "long club 1",
+            ),
+            EntryCase(
+                "a path that only resembles a prefix",
+                listOf(configuration()),
+                head("/ab/"),
+                outcome = "UnknownRoute",
+            ),
+            EntryCase(
+                "another host",
+                listOf(configuration()),
+                head().copy(host = "other.example"),
+                outcome = "UnknownRoute",
+            ),
+            EntryCase(
+                "an unknown key",
+                listOf(configuration()),
+                head(key = "k2"),
+                outcome = "UnknownKey",
+            ),
+            EntryCase(
+                "no key",
+                listOf(configuration()),
+                head(key = null),
+                outcome = "UnknownKey",
+            ),
+            EntryCase(
+                "a public route needs no key",
+                listOf(configuration(isPublic = true)),
+                head(key = null),
+                outcome = "short null 1",
+            ),
+            EntryCase(
+                "no organisations at all need no key",
+                listOf(configuration(keys = null)),
+                head(key = null),
+                outcome = "short null 1",
+            ),
+            EntryCase(
+                "a body over the limit",
+                listOf(configuration()),
+                head(),
+                Body.of("long"),
+                outcome = "TooLarge",
+            ),
+            EntryCase(
+                "a key that a newer configuration took away",
+                listOf(configuration(), configuration(2, persistentMapOf())),
+                head(),
+                outcome = "UnknownKey",
+            ),
+            EntryCase(
+                "an older configuration is not taken back",
+                listOf(configuration(2), configuration(1, persistentMapOf())),
+                head(),
+                outcome = "short club 2",
+            ),
+        ) { case ->
+            val filter = EntryFilter()
+            val state = case.configurations.fold(EntryState()) { state, configuration ->
+                filter.step(state, EntryEvent.Configured(configuration), Duration.ZERO).state
+            }
+            val event = EntryEvent.Received(CallKey(1), case.head, case.body, Duration.ZERO)
+            val outcome = when (val action = filter.step(state, event, Duration.ZERO).actions.single()) {
+                is EntryAction.Forward ->
+                    "${action.call.route.name} ${action.call.organisation} ${action.version}"
+                is EntryAction.Refuse -> when (action.refusal) {
+                    is Refusal.NotRun -> "NotRun"
+                    else -> action.refusal::class.simpleName
+                }
+                is EntryAction.InForce -> "in force"
+            }
+            outcome shouldBe case.outcome
+        }
+    })
--- /dev/null
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/PlacementRun.kt
@@ -0,0 +1,50 @@
+package org.bilberrycart.gateway.placement
+
+import kotlin.time.Duration
+import kotlinx.collections.immutable.toPersistentList
+import org.bilberrycart.gateway.Samples
+import org.bilberrycart.gateway.model.AttemptKey
+import org.bilberrycart.gateway.model.CallKey
+import org.bilberrycart.gateway.model.Refusal
+
+/** Steps the placement filter and tells its actions in short words. */
+class PlacementRun(settings: PlacementSettings = PlacementSettings()) {
+    private val filter = PlacementFilter(settings)
+    var state = PlacementState()
+        private set
+    var now: Duration = Duration.ZERO
+
+    fun step(event: PlacementEvent): List<String> {
+        val step = filter.step(state, event, now)
+        state = step.state
+        return step.actions.filterNot { it is PlacementAction.Believe }.map(::tell)
+    }
+
+    fun register(vararg ids: String): List<String> = step(
+        PlacementEvent.Registered(ids.map { Samples.entry(it.take(1), it.drop(1)) }.toPersistentList()),
+    )
+
+    private fun tell(action: PlacementAction): String = when (action) {
+        is PlacementAction.Send -> listOfNotNull(
+            "send ${action.order.upstream.id.value}",
+            action.order.backup?.let { "backup ${it.id.value}" },
+            action.order.resumesFrom?.let { "from ${it.run}" },
+        ).joinToString(" ")
+        is PlacementAction.Cancel -> "cancel ${action.attempt.number}"
+        is PlacementAction.Deliver -> "deliver ${action.answer.head.status}"
+        is PlacementAction.Refuse -> "refuse " + when (action.refusal) {
+            is Refusal.NotRun -> "not run"
+            is Refusal.Broken -> "broken"
+            is Refusal.TimedOut -> "timed out"
+            else -> action.refusal.reason
+        }
+        is PlacementAction.Abort -> "abort"
+        is PlacementAction.Forget -> "forget"
+        is PlacementAction.Probe -> "probe ${action.upstream.id.value}"
+        is PlacementAction.Believe -> action.belief
+    }
+
+    companion object {
+        fun attempt(number: Int = 1, call: Long = 1) = AttemptKey(CallKey(call), number)
+    }
+}
--- /dev/null
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/StreamPlacementTest.kt
@@ -0,0 +1,114 @@
+package org.bilberrycart.gateway.placement
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.datatest.withData
+import io.kotest.engine.names.WithDataTestName
+import io.kotest.matchers.shouldBe
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import org.bilberrycart.gateway.Samples
+import org.bilberrycart.gateway.model.RepeatRule
+import org.bilberrycart.gateway.model.UpstreamId
+import org.bilberrycart.gateway.placement.PlacementRun.Companion.attempt
+
+private data class StreamCase(
+    val name: String,
+    val isResumable: Boolean = true,
+    val before: List<PlacementEvent> = emptyList(),
+    val wait: Duration = 10.milliseconds,
+    val last: PlacementEvent,
+    val actions: List<String>,
+) : WithDataTestName {
+    override fun dataTestName(): String = name
+}
+
+/** Upstream a in data centre x has the run; b in y is the only choice for its backup. */
+class StreamPlacementTest :
+    FunSpec({
+        fun check(case: StreamCase) {
+            val run = PlacementRun()
+            run.register("ax")
+            val route = Samples.route(
+                RepeatRule.Stream(case.isResumable),
+                attempts = 5,
+                timeout = 25.seconds,
+                objective = 4.seconds,
+            )
+            run.register("ax", "by")
+            run.step(PlacementEvent.Submit(Samples.call(route, hasBackups = true)))
+            val first = run.state.calls.values.single().attempts.values.single().upstream
+            case.before.forEach(run::step)
+            run.now += case.wait
+            run.step(case.last).map { it.relativeTo(first) } shouldBe case.actions
+        }
+
+        val opened = listOf(
+            PlacementEvent.StreamOpened(attempt()),
+            PlacementEvent.StreamMoved(attempt()),
+        )
+
+        context("a lost run goes on from its copy") {
+            withData(
+                StreamCase(
+                    "after a reset",
+                    before = opened,
+                    last = PlacementEvent.Broken(attempt(), "reset"),
+                    actions = listOf("send second from r1"),
+                ),
+                StreamCase(
+                    "from the prompt when the copy is refused",
+                    before = opened + PlacementEvent.Broken(attempt(), "reset"),
+                    last = PlacementEvent.Answered(attempt(2), Samples.answer(503, didNotRun = true)),
+                    actions = listOf("send second"),
+                ),
+                StreamCase(
+                    "not at all when the route forbids it",
+                    isResumable = false,
+                    before = opened,
+                    last = PlacementEvent.Broken(attempt(), "reset"),
+                    actions = listOf("abort"),
+                ),
+            ) { check(it) }
+        }
+
+        context("a silent run") {
+            withData(
+                StreamCase(
+                    "is left alone for a while",
+                    before = opened,
+                    wait = 200.milliseconds,
+                    last = PlacementEvent.Tick,
+                    actions = emptyList(),
+                ),
+                StreamCase(
+                    "has its upstream probed",
+                    before = opened,
+                    wait = 230.milliseconds,
+                    last = PlacementEvent.Tick,
+                    actions = listOf("probe first"),
+                ),
+            ) { check(it) }
+        }
+
+        test("an upstream that does not answer a probe loses its streams") {
+            val run = PlacementRun()
+            run.register("ax", "by")
+            val route = Samples.route(RepeatRule.Stream(true), 5, 25.seconds, 4.seconds)
+            run.step(PlacementEvent.Submit(Samples.call(route, hasBackups = true)))
+            opened.forEach(run::step)
+            run.now += 230.milliseconds
+            run.step(PlacementEvent.Tick).size shouldBe 1
+            run.now += 160.milliseconds
+            run.step(PlacementEvent.Tick).map { it.substringBefore(' ') } shouldBe
+                listOf("cancel", "send")
+        }
+    })
+
+private fun String.relativeTo(first: UpstreamId): String = split(' ').joinToString(" ") {
+    when (it) {
+        first.value -> "first"
+        "a", "b" -> "second"
+        else -> it
+    }
+}
--- /dev/null
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/relay/RelayFilterTest.kt
@@ -0,0 +1,167 @@
+package org.bilberrycart.gateway.relay
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.datatest.withData
+import io.kotest.engine.names.WithDataTestName
+import io.kotest.matchers.shouldBe
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import org.bilberrycart.gateway.Samples
+import org.bilberrycart.gateway.model.AttemptKey
+import org.bilberrycart.gateway.model.Body
+import org.bilberrycart.gateway.model.CallKey
+import org.bilberrycart.gateway.model.RepeatRule
+import org.bilberrycart.gateway.placement.PlacementEvent
+import org.bilberrycart.gateway.placement.SendOrder
+
+private data class RelayCase(
+    val name: String,
+    val events: List<RelayEvent>,
+    val last: RelayEvent,
+    val actions: List<String>,
+) : WithDataTestName {
+    override fun dataTestName(): String = name
+}
+
+private fun key(number: Int) = AttemptKey(CallKey(1), number)
+
+private fun begin(number: Int) = RelayEvent.Begin(
+    SendOrder(
+        attempt = key(number),
+        call = Samples.call(Samples.route(RepeatRule.Stream(true))),
+        upstream = Samples.entry("a"),
+        timeLeft = 1.seconds,
+    ),
+)
+
+private fun opened(number: Int) = RelayEvent.Opened(key(number), Samples.answer(200).head)
+
+private fun chunk(number: Int, text: String) = RelayEvent.Chunk(key(number), Body.of(text))
+
+private fun event(id: Int) = "id: $id\ndata: x\n\n"
+
+class RelayFilterTest :
+    FunSpec({
+        fun tell(action: RelayAction): String = when (action) {
+            is RelayAction.Send -> "send ${action.order.attempt.number} behind ${action.lastEvent}"
+            is RelayAction.Open -> "open"
+            is RelayAction.Write -> "write ${action.bytes.text()}"
+            is RelayAction.Demand -> "demand ${action.attempt.number}"
+            is RelayAction.Drop -> "drop ${action.attempt.number}"
+            is RelayAction.Complete -> "complete"
+            is RelayAction.Abort -> "abort"
+            is RelayAction.Report -> when (action.event) {
+                is PlacementEvent.Broken -> "broken"
+                else -> action.event::class.simpleName.orEmpty()
+            }
+        }
+
+        fun check(case: RelayCase) {
+            val filter = RelayFilter()
+            val state = case.events.fold(RelayState()) { state, event ->
+                filter.step(state, event, Duration.ZERO).state
+            }
+            filter.step(state, case.last, Duration.ZERO).actions.map(::tell) shouldBe case.actions
+        }
+
+        val running = listOf(begin(1), opened(1))
+
+        context("only whole events go on") {
+            withData(
+                RelayCase(
+                    "a whole event",
+                    running,
+                    chunk(1, event(1)),
+                    listOf("write ${event(1)}", "StreamMoved"),
+                ),
+                RelayCase(
+                    "the start of an event waits for its end",
+                    running,
+                    chunk(1, "id: 1\nda"),
+                    listOf("demand 1"),
+                ),
+                RelayCase(
+                    "an event in two chunks",
+                    running + chunk(1, "id: 1\nda"),
+                    chunk(1, "ta: x\n\nid: 2"),
+                    listOf("write ${event(1)}", "StreamMoved"),
+                ),
+                RelayCase(
+                    "lines may end with carriage returns",
+                    running,
+                    chunk(1, "id: 1\r\ndata: x\r\n\r\n"),
+                    listOf("write id: 1\r\ndata: x\r\n\r\n", "StreamMoved"),
+                ),
+                RelayCase(
+                    "a stream that ends within an event is not complete",
+                    running + chunk(1, event(1) + "id: 2\n"),
+                    RelayEvent.Ended(key(1)),
+                    listOf("broken"),
+                ),
+                RelayCase(
+                    "a stream that ends behind an event is complete",
+                    running + chunk(1, event(1)),
+                    RelayEvent.Ended(key(1)),
+                    listOf("complete", "StreamEnded"),
+                ),
+            ) { check(it) }
+        }
+
+        context("events of two runs are never joined wrongly") {
+            withData(
+                RelayCase(
+                    "a new attempt goes on behind the last whole event",
+                    running + chunk(1, event(1) + event(2) + "id: 3\n"),
+                    begin(2),
+                    listOf("send 2 behind 2"),
+                ),
+                RelayCase(
+                    "bytes of an earlier attempt are dropped",
+                    running + chunk(1, event(1)) + begin(2),
+                    chunk(1, event(2)),
+                    listOf("drop 1"),
+                ),
+                RelayCase(
+                    "the rest of an earlier attempt is not joined to the next",
+                    running + chunk(1, event(1) + "id: 2\nda") + begin(2) + opened(2),
+                    chunk(2, event(2)),
+                    listOf("write ${event(2)}", "StreamMoved"),
+                ),
+                RelayCase(
+                    "an event that skips one breaks the attempt",
+                    running + chunk(1, event(1)),
+                    chunk(1, event(3)),
+                    listOf("drop 1", "broken"),
+                ),
+                RelayCase(
+                    "an event that comes again breaks the attempt",
+                    running + chunk(1, event(1)) + begin(2) + opened(2),
+                    chunk(2, event(1)),
+                    listOf("drop 2", "broken"),
+                ),
+                RelayCase(
+                    "the caller gets the head of the first run only",
+                    running + chunk(1, event(1)) + begin(2),
+                    opened(2),
+                    listOf("StreamOpened"),
+                ),
+            ) { check(it) }
+        }
+
+        context("a stream that is over") {
+            withData(
+                RelayCase(
+                    "takes no more bytes",
+                    running + RelayEvent.Stop(CallKey(1), isAborted = true),
+                    chunk(1, event(1)),
+                    listOf("drop 1"),
+                ),
+                RelayCase(
+                    "is broken off for the caller when it is aborted",
+                    running,
+                    RelayEvent.Stop(CallKey(1), isAborted = true),
+                    listOf("abort"),
+                ),
+            ) { check(it) }
+        }
+    })
