Leave slow starts alone; resume only from copies that exist

Copies were asked of runs that had no event yet, and such a copy does not exist (29 of 32 refused). A caller that closed its connection behind its last event was taken for one that left early.

Change: the stall limit before the first event is twice the objective; a copy counts only after the first event; new streams count double where they start; a caller is gone only while its answer is open.

Ruled out: the abandonment alone. Reports of engines show 2 prompts queued at one and none at others: the nodes don't know of each other's placements.

--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/http/CallerExchange.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/http/CallerExchange.kt
@@ -3,6 +3,7 @@
 import java.nio.ByteBuffer
 import org.bilberrycart.gateway.model.Body
 import org.bilberrycart.gateway.model.Header
+import org.eclipse.jetty.io.EofException
 import org.eclipse.jetty.server.Request
 import org.eclipse.jetty.server.Response
 import org.eclipse.jetty.util.Callback
@@ -49,7 +50,7 @@
         val isFirst = synchronized(lock) { !isOver.also { isOver = true } }
         if (!isFirst) return
         request.connectionMetaData.connection.endPoint.close()
-        callback.failed(java.io.IOException(why))
+        callback.failed(EofException(why))
     }
 
     private fun put(part: Part) {
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/http/FrontHandler.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/http/FrontHandler.kt
@@ -69,7 +69,7 @@
         exchanges.add(event.key, exchange)
         val end = request.connectionMetaData.connection.endPoint
         if (receive(event)) {
-            (end as? CloseWatch)?.watch { callerGone(event.key) }
+            (end as? CloseWatch)?.watch { if (exchanges.isOpen(event.key)) callerGone(event.key) }
         } else {
             exchanges.refuse(event.key, event.head.requestId, Refusal.NotRun("queue full", FULL_WAIT))
         }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/http/OpenExchanges.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/http/OpenExchanges.kt
@@ -15,6 +15,9 @@
     public val size: Int
         get() = exchanges.size
 
+    /** Whether [key] still waits for the end of its answer. */
+    public fun isOpen(key: CallKey): Boolean = exchanges.containsKey(key)
+
     internal fun add(key: CallKey, exchange: CallerExchange) {
         exchanges[key] = exchange
     }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/http/UpstreamClient.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/http/UpstreamClient.kt
@@ -16,6 +16,7 @@
 import org.bilberrycart.gateway.placement.PlacementEvent
 import org.bilberrycart.gateway.placement.SendOrder
 import org.bilberrycart.gateway.relay.RelayEvent
+import org.eclipse.jetty.client.BufferingResponseListener
 import org.eclipse.jetty.client.BytesRequestContent
 import org.eclipse.jetty.client.HttpClient
 import org.eclipse.jetty.client.Request
@@ -66,10 +67,12 @@
     fun probe(upstream: UpstreamEntry, limit: Duration) {
         client.newRequest(upstream.host, upstream.port).path(protocol.probeTarget)
             .timeout(limit.inWholeMilliseconds, java.util.concurrent.TimeUnit.MILLISECONDS)
-            .send { result ->
-                val cause = result.failure?.toString() ?: "status ${result.response.status}"
-                placement(PlacementEvent.Probed(upstream.id, result.isSucceeded, cause))
-            }
+            .send(object : BufferingResponseListener(LONGEST_REPORT_BYTES) {
+                override fun onComplete(result: Result) {
+                    val cause = result.failure?.toString() ?: contentAsString.orEmpty()
+                    placement(PlacementEvent.Probed(upstream.id, result.isSucceeded, cause))
+                }
+            })
     }
 
     private inner class Sent(private val order: SendOrder, private val request: Request) {
@@ -136,6 +139,7 @@
     }
 
     private companion object {
+        const val LONGEST_REPORT_BYTES = 64 * 1024
         const val LONGEST_ANSWER_BYTES = 16 * 1024 * 1024
     }
 }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/Chooser.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/Chooser.kt
@@ -9,6 +9,8 @@
 /** Chooses upstreams for calls and for copies of their memory: the least loaded usable one. */
 internal class Chooser(private val state: PlacementState, private val now: Duration) {
     private val random = Random(state.seed)
+    private val starting = state.calls.values.flatMap { it.attempts.values }
+        .filterNot { it.hasEvents }.groupingBy { it.upstream }.eachCount()
 
     /** The seed to go on with. */
     val nextSeed: Long
@@ -42,7 +44,8 @@
 
     private fun load(view: UpstreamView): Double {
         val isDoubtful = view.failures > 0 || now - view.failedAt < DOUBT && view.failedAt > ZERO
-        return view.running + view.elsewhere + view.copies * COPY_LOAD +
+        return view.running + (starting[view.entry.id] ?: 0) +
+            view.elsewhere + view.copies * COPY_LOAD +
             view.failureWeightAt(now) + if (isDoubtful) DOUBT_LOAD else 0.0
     }
 
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/Losses.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/Losses.kt
@@ -87,7 +87,8 @@
         cause: String,
         now: Duration,
     ): Step<PlacementState, PlacementAction> {
-        val copy = attempt.backup?.let { MemoryCopy(it, call.call.head.requestId) }
+        val copy = attempt.backup?.takeIf { attempt.hasEvents }
+            ?.let { MemoryCopy(it, call.call.head.requestId) }
         val left = call.copy(
             attempts = call.attempts.remove(attempt.number),
             losses = call.losses + 1,
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementSettings.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementSettings.kt
@@ -28,7 +28,7 @@
     val streamSilence: Duration = 220.milliseconds,
     val startSilence: Duration = 400.milliseconds,
     val streamStall: Duration = 1500.milliseconds,
-    val startStall: Double = 0.6,
+    val startStall: Double = 2.0,
     val probeTimeout: Duration = 150.milliseconds,
     val probeInterval: Duration = 300.milliseconds,
     val hedgeShare: Double = 0.5,
