Let nodes tell each other their loads, losses and tables

Cause: nodes placed prompts without knowing of each other; reports showed two prompts queued at one engine and none at others. A node that the store turns away learnt nothing of new keys and upstreams.

Change: peers duty: news by datagram (CBOR) of loads, losses and table versions, rate falling with the number of peers; a node whose store calls fail asks a peer for its copy of a table.

Ruled out: asking engines for reports, which are some 100 ms old.

--- a/bench/src/main/kotlin/org/bilberrycart/bench/control/CommitMeasure.kt
+++ b/bench/src/main/kotlin/org/bilberrycart/bench/control/CommitMeasure.kt
@@ -65,7 +65,7 @@
                 left.countDown()
             }),
         ).start()
-        val ticker = Ticker(TICK, listOf(Ticker.Target(ring, PlatformEvent.Tick))).start()
+        val ticker = Ticker(TICK, listOf(Ticker.Target(ring) { PlatformEvent.Tick })).start()
         val start = clock.now()
         Pacer(keysPerSecond, WARM_UP + length).run(clock) { ring.put(insert(it)) }
         left.await(PATIENCE.inWholeSeconds, TimeUnit.SECONDS)
--- a/bench/src/main/kotlin/org/bilberrycart/bench/control/OutageMeasure.kt
+++ b/bench/src/main/kotlin/org/bilberrycart/bench/control/OutageMeasure.kt
@@ -67,7 +67,7 @@
             clock = clock,
             sink = { carryOut(it, control) },
         ).start()
-        val ticker = Ticker(TICK, listOf(Ticker.Target(ring, IdempotencyEvent.Tick))).start()
+        val ticker = Ticker(TICK, listOf(Ticker.Target(ring) { IdempotencyEvent.Tick })).start()
         val start = clock.now()
         schedule(START) { standin.setFaults(outage) }
         schedule(END) { standin.setFaults(Faults()) }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/discovery/DiscoveryAction.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/discovery/DiscoveryAction.kt
@@ -13,6 +13,9 @@
     public data class Follow(val table: StoreTable, val version: Long, val delay: Duration) :
         DiscoveryAction()
 
+    /** Ask the peer at [address] for its copy of [table]. */
+    public data class AskPeer(val table: StoreTable, val address: String) : DiscoveryAction()
+
     /** The rows of [table] have changed to [rows]. */
     public data class Publish(val table: StoreTable, val rows: PersistentList<StoreRow>) :
         DiscoveryAction()
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/discovery/DiscoveryEvent.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/discovery/DiscoveryEvent.kt
@@ -8,6 +8,14 @@
     /** The store answered a call about [table], or failed to. */
     public data class Replied(val table: StoreTable, val reply: StoreReply) : DiscoveryEvent()
 
+    /** The peer at [address] knows [table] up to [version]. */
+    public data class PeerKnows(val table: StoreTable, val address: String, val version: Long) :
+        DiscoveryEvent()
+
+    /** A peer sent its copy of [table]. */
+    public data class PeerSent(val table: StoreTable, val page: StoreReply.Page) :
+        DiscoveryEvent()
+
     /** Time has passed. */
     public data object Tick : DiscoveryEvent()
 }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/discovery/DiscoveryFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/discovery/DiscoveryFilter.kt
@@ -28,6 +28,8 @@
             StoreTable.entries.map { read(it, from = null) }.toPersistentList(),
         )
         is DiscoveryEvent.Replied -> replied(state, event.table, event.reply, now)
+        is DiscoveryEvent.PeerKnows -> peerKnows(state, event, now)
+        is DiscoveryEvent.PeerSent -> peerSent(state, event, now)
         DiscoveryEvent.Tick -> tick(state, now)
     }
 
@@ -53,6 +55,37 @@
         }
     }
 
+    /** A node that can't read the store takes what a peer has read. */
+    private fun peerKnows(
+        state: DiscoveryState,
+        event: DiscoveryEvent.PeerKnows,
+        now: Duration,
+    ): Step<DiscoveryState, DiscoveryAction> {
+        val feed = state.feeds.getValue(event.table)
+        val isNewer = event.version > (feed.version ?: -1)
+        val isRecent = feed.askedAt?.let { now - it < ASK_INTERVAL } == true
+        if (!feed.isFailing || !isNewer || isRecent) return Step(state)
+        return Step(
+            state.with(event.table, feed.copy(askedAt = now)),
+            persistentListOf(DiscoveryAction.AskPeer(event.table, event.address)),
+        )
+    }
+
+    private fun peerSent(
+        state: DiscoveryState,
+        event: DiscoveryEvent.PeerSent,
+        now: Duration,
+    ): Step<DiscoveryState, DiscoveryAction> {
+        val feed = state.feeds.getValue(event.table)
+        if (event.page.version <= (feed.version ?: -1)) return Step(state)
+        val next = feed.copy(
+            rows = event.page.rows.associateBy { it.key }.toPersistentMap(),
+            version = event.page.version,
+        )
+        val published = publish(state, event.table, feed, next, now)
+        return published.copy(actions = published.actions.removeAll { it is DiscoveryAction.Follow })
+    }
+
     private fun failed(
         state: DiscoveryState,
         table: StoreTable,
@@ -103,6 +136,10 @@
         changes: StoreReply.Changes,
         now: Duration,
     ): Step<DiscoveryState, DiscoveryAction> {
+        val known = feed.version
+        if (known != null && changes.version < known) {
+            return Step(state.with(table, feed), persistentListOf(follow(table, known)))
+        }
         val rows = changes.rows.fold(feed.rows) { rows, row ->
             if (row.value == null) rows.remove(row.key) else rows.put(row.key, row)
         }
@@ -169,6 +206,9 @@
         val FIRST_RETRY = 100.milliseconds
         val LONGEST_RETRY = 500.milliseconds
 
+        /** The least time between two questions to peers about a table. */
+        val ASK_INTERVAL = 300.milliseconds
+
         /** Upstreams that live register again within this time of the store's return. */
         val LAPSE_GRACE = 2.2.seconds
     }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/discovery/TableFeed.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/discovery/TableFeed.kt
@@ -13,6 +13,7 @@
  * @property failedAt when the store last failed to answer; null if it never did.
  * @property returnedAt when it first answered after a failure.
  * @property isFailing whether the last call failed.
+ * @property askedAt when a peer was last asked for its copy.
  * @property lapsed when each row vanished that did so close to a failure.
  */
 public data class TableFeed(
@@ -21,6 +22,7 @@
     val partial: PersistentMap<String, StoreRow> = persistentMapOf(),
     val failures: Int = 0,
     val returnedAt: Duration? = null,
+    val askedAt: Duration? = null,
     val lapsed: PersistentMap<String, LapsedRow> = persistentMapOf(),
 ) {
     /** Whether the last call failed. */
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DecisionLog.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DecisionLog.kt
@@ -3,6 +3,7 @@
 import org.bilberrycart.gateway.discovery.DiscoveryAction
 import org.bilberrycart.gateway.entry.EntryAction
 import org.bilberrycart.gateway.lifecycle.LifecycleAction
+import org.bilberrycart.gateway.peers.PeersAction
 import org.bilberrycart.gateway.placement.PlacementAction
 import org.bilberrycart.gateway.placement.SendOrder
 import org.slf4j.LoggerFactory
@@ -84,6 +85,19 @@
         unreadable,
     )
 
+    fun peer(action: PeersAction.Believe) = log.info(
+        "event=peer_{} peer={}",
+        if (action.isAlive) "heard" else "silent",
+        action.address,
+    )
+
+    fun asked(action: DiscoveryAction.AskPeer, outcome: String) = log.info(
+        "event=table_from_peer table={} peer={} outcome=\"{}\"",
+        action.table,
+        action.address,
+        outcome,
+    )
+
     fun lifecycle(action: LifecycleAction) = log.info("event=lifecycle action=\"{}\"", action)
 
     private fun sent(order: SendOrder, why: String) = log.info(
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/GatewayNode.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/GatewayNode.kt
@@ -98,11 +98,22 @@
         clock,
         ::onLifecycle,
     )
+    private val peerLinks = PeerLinks(
+        settings,
+        clock,
+        client,
+        log,
+        placement = { placementRing.put(it) },
+        discovery = { discoveryRing.put(it) },
+        placementState = { placement.snapshot },
+        discoveryState = { discovery.snapshot },
+    )
     private val timer = Ticker(
         TICK,
         listOf(
-            Ticker.Target(placementRing, PlacementEvent.Tick),
-            Ticker.Target(discoveryRing, DiscoveryEvent.Tick),
+            Ticker.Target(placementRing) { PlacementEvent.Tick },
+            Ticker.Target(discoveryRing) { DiscoveryEvent.Tick },
+            peerLinks.ticks,
         ),
     )
     private val front = FrontServer(
@@ -110,6 +121,7 @@
         status = listOf(
             address(settings.status),
             FrontServer.Address(settings.address, settings.metricsPort),
+            FrontServer.Address(settings.address, settings.peerPort),
         ),
         callerHandler = FrontHandler(
             protocol,
@@ -120,12 +132,13 @@
             receive = entryRing::offer,
             callerGone = { placementRing.put(PlacementEvent.CallerGone(it)) },
         ),
-        statusHandler = StatusHandler(protocol.readyTarget, { isReady }) { "" },
+        statusHandler = StatusHandler(protocol.readyTarget, { isReady }, peerLinks::tableCopy) { "" },
     )
 
     /** Starts all duties and listens. */
     public fun start() {
         listOf(entry, placement, relay, discovery, lifecycle).forEach { it.start() }
+        peerLinks.start()
         discoveryRing.put(DiscoveryEvent.Start)
         timer.start()
         front.start()
@@ -196,6 +209,7 @@
         is DiscoveryAction.Follow -> later(action.delay) {
             store.follow(action.table, action.version, FEED_WAIT) { replied(action.table, it) }
         }
+        is DiscoveryAction.AskPeer -> peerLinks.ask(action)
         is DiscoveryAction.Publish -> publish(action)
         is DiscoveryAction.Store -> log.discovery(action)
     }
--- /dev/null
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/PeerLinks.kt
@@ -0,0 +1,124 @@
+package org.bilberrycart.gateway.node
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.collections.immutable.toPersistentMap
+import kotlinx.collections.immutable.toPersistentSet
+import org.bilberrycart.gateway.discovery.DiscoveryAction
+import org.bilberrycart.gateway.discovery.DiscoveryEvent
+import org.bilberrycart.gateway.discovery.DiscoveryState
+import org.bilberrycart.gateway.discovery.StoreTable
+import org.bilberrycart.gateway.http.StatusHandler
+import org.bilberrycart.gateway.model.UpstreamId
+import org.bilberrycart.gateway.peers.PeerCodec
+import org.bilberrycart.gateway.peers.PeerSocket
+import org.bilberrycart.gateway.peers.PeersAction
+import org.bilberrycart.gateway.peers.PeersEvent
+import org.bilberrycart.gateway.peers.PeersFilter
+import org.bilberrycart.gateway.peers.PeersState
+import org.bilberrycart.gateway.peers.TableCopy
+import org.bilberrycart.gateway.placement.PlacementEvent
+import org.bilberrycart.gateway.placement.PlacementState
+import org.bilberrycart.pipeline.Clock
+import org.bilberrycart.pipeline.Duty
+import org.bilberrycart.pipeline.Ring
+import org.bilberrycart.timer.Ticker
+import org.eclipse.jetty.client.BufferingResponseListener
+import org.eclipse.jetty.client.HttpClient
+import org.eclipse.jetty.client.Result
+
+/** The peers duty with its socket, and the copies of tables that nodes give each other. */
+internal class PeerLinks(
+    private val settings: GatewaySettings,
+    private val clock: Clock,
+    private val client: HttpClient,
+    private val log: DecisionLog,
+    private val placement: (PlacementEvent) -> Unit,
+    private val discovery: (DiscoveryEvent) -> Unit,
+    private val placementState: () -> PlacementState,
+    private val discoveryState: () -> DiscoveryState,
+) {
+    private val self = "${settings.address}:${settings.peerPort}"
+    private val ring = Ring<PeersEvent>("peers", CAPACITY)
+    private val socket = PeerSocket(settings.address, settings.peerPort) {
+        ring.offer(PeersEvent.Received(it))
+    }
+    private val duty = Duty("peers", ring, firstState(), PeersFilter(), clock, ::carryOut)
+
+    /** What the timer fires. */
+    val ticks: Ticker.Target<PeersEvent> = Ticker.Target(ring, ::tick)
+
+    /** Starts the duty and its socket. */
+    fun start() {
+        duty.start()
+        socket.start()
+    }
+
+    /** Returns the bytes of this node's copy of the table with [name], or null. */
+    fun tableCopy(name: String): ByteArray? = StoreTable.entries.firstOrNull { it.name == name }
+        ?.let { discoveryState().feeds.getValue(it) }
+        ?.let { TableCopy.of(it) }
+        ?.let { PeerCodec.encode(it) }
+
+    /** Asks a peer for its copy of a table. */
+    fun ask(action: DiscoveryAction.AskPeer) {
+        client.newRequest("http://${action.address}${StatusHandler.TABLE_PATH}${action.table.name}")
+            .timeout(ASK_LIMIT.inWholeMilliseconds, java.util.concurrent.TimeUnit.MILLISECONDS)
+            .send(object : BufferingResponseListener(LONGEST_TABLE_BYTES) {
+                override fun onComplete(result: Result) {
+                    val copy = content?.takeIf { result.isSucceeded }?.let(PeerCodec::table)
+                    log.asked(action, copy?.let { "version ${it.version}" } ?: "${result.failure}")
+                    if (copy != null) discovery(DiscoveryEvent.PeerSent(action.table, copy.page()))
+                }
+            })
+    }
+
+    private fun firstState() = PeersState(
+        self = self,
+        incarnation = System.currentTimeMillis(),
+        candidates = settings.seeds
+            .map { "${it.substringBeforeLast(':')}:${settings.peerPort}" }
+            .filterNot { it == self }.toPersistentSet(),
+    )
+
+    private fun tick(): PeersEvent {
+        val state = placementState()
+        val now = clock.now()
+        return PeersEvent.Tick(
+            loads = state.loads().mapKeys { it.key.value },
+            lost = state.upstreams.values
+                .filter { it.failures > 0 && now - it.failedAt < LOST_NEWS }
+                .associate { it.entry.id.value to (now - it.failedAt).inWholeMilliseconds.toInt() },
+            tables = discoveryState().feeds.entries.mapNotNull { (table, feed) ->
+                feed.version?.let { table.name to it }
+            }.toMap(),
+        )
+    }
+
+    private fun carryOut(action: PeersAction): Unit = when (action) {
+        is PeersAction.Tell -> socket.send(action.addresses, action.news)
+        is PeersAction.Elsewhere -> placement(
+            PlacementEvent.LoadElsewhere(
+                action.loads.mapKeys { UpstreamId(it.key) }.toPersistentMap(),
+                action.lost.entries.associate<_, UpstreamId, Duration> {
+                    UpstreamId(it.key) to it.value.milliseconds
+                }.toPersistentMap(),
+            ),
+        )
+        is PeersAction.Tables -> action.versions.forEach { (name, version) ->
+            StoreTable.entries.firstOrNull { it.name == name }
+                ?.let { discovery(DiscoveryEvent.PeerKnows(it, action.address, version)) }
+        }
+        is PeersAction.Believe -> log.peer(action)
+    }
+
+    private companion object {
+        const val CAPACITY = 1024
+        const val LONGEST_TABLE_BYTES = 8 * 1024 * 1024
+        val ASK_LIMIT = 1.seconds
+
+        /** How long a loss is worth telling. */
+        val LOST_NEWS = 300.milliseconds
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeersAction.kt
@@ -0,0 +1,17 @@
+package org.bilberrycart.gateway.peers
+
+/** What the peers duty asks for. */
+public sealed class PeersAction {
+    /** Send [news] to each of [addresses]. */
+    public data class Tell(val addresses: List<String>, val news: PeerNews) : PeersAction()
+
+    /** Other nodes have this work at upstreams, and lost these upstreams so many ms ago. */
+    public data class Elsewhere(val loads: Map<String, Int>, val lost: Map<String, Int>) :
+        PeersAction()
+
+    /** The peer at [address] knows its tables up to these versions. */
+    public data class Tables(val address: String, val versions: Map<String, Long>) : PeersAction()
+
+    /** A peer was heard for the first time, or no more. */
+    public data class Believe(val address: String, val isAlive: Boolean) : PeersAction()
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeersFilter.kt
@@ -0,0 +1,148 @@
+package org.bilberrycart.gateway.peers
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
+import kotlinx.collections.immutable.toPersistentMap
+import org.bilberrycart.pipeline.Filter
+import org.bilberrycart.pipeline.Step
+
+/**
+ * Tells other nodes what this one does and puts together what they say.
+ *
+ * News are soft: each message replaces the one before, lost ones do no harm, and a peer that is not
+ * heard for [SILENCE] counts for nothing.
+ */
+public class PeersFilter : Filter<PeersState, PeersEvent, PeersAction> {
+    override fun step(
+        state: PeersState,
+        event: PeersEvent,
+        now: Duration,
+    ): Step<PeersState, PeersAction> = when (event) {
+        is PeersEvent.Received -> received(state, event.news, now)
+        is PeersEvent.Tick -> tick(state, event, now)
+    }
+
+    private fun received(
+        state: PeersState,
+        news: PeerNews,
+        now: Duration,
+    ): Step<PeersState, PeersAction> {
+        val known = state.peers[news.sender]
+        if (news.sender == state.self || isOld(known?.news, news)) return Step(state)
+        val heard = state.copy(
+            peers = state.peers.put(news.sender, PeerView(news, now)),
+            candidates = state.candidates.addAll(news.members).add(news.sender).remove(state.self),
+        )
+        val isNew = known == null
+        val next = elsewhere(heard, news.lost)
+        val actions = listOfNotNull(
+            PeersAction.Believe(news.sender, isAlive = true).takeIf { isNew },
+            PeersAction.Tables(news.sender, news.tables)
+                .takeIf { known?.news?.tables != news.tables || news.sequence % TABLES_EVERY == 0L },
+        )
+        return Step(next.state, (actions + next.actions).toPersistentList())
+    }
+
+    private fun isOld(known: PeerNews?, news: PeerNews): Boolean = known != null && when {
+        news.incarnation != known.incarnation -> news.incarnation < known.incarnation
+        else -> news.sequence <= known.sequence
+    }
+
+    private fun tick(
+        state: PeersState,
+        event: PeersEvent.Tick,
+        now: Duration,
+    ): Step<PeersState, PeersAction> {
+        val silent = state.peers.filterValues { now - it.heardAt > SILENCE }
+        val left = state.copy(
+            peers = state.peers.filterKeys { it !in silent }.toPersistentMap(),
+        )
+        val changed = elsewhere(left, emptyMap())
+        val told = tell(changed.state, event, now)
+        val sought = seek(told.state, event, now)
+        return Step(
+            sought.state,
+            silent.keys.map<String, PeersAction> { PeersAction.Believe(it, isAlive = false) }
+                .toPersistentList().addAll(changed.actions).addAll(told.actions)
+                .addAll(sought.actions),
+        )
+    }
+
+    /** Tells peers what has changed, or that nothing has, at a rate that falls with their number. */
+    private fun tell(
+        state: PeersState,
+        event: PeersEvent.Tick,
+        now: Duration,
+    ): Step<PeersState, PeersAction> {
+        val isChanged = state.told?.loads != event.loads || state.told.tables != event.tables ||
+            event.lost.isNotEmpty()
+        val pause = if (isChanged) PAUSE_PER_PEER * state.peers.size else HEARTBEAT
+        if (state.peers.isEmpty() || now - state.toldAt < pause) return Step(state)
+        return send(state.copy(toldAt = now), state.peers.keys.toList(), event)
+    }
+
+    /** Calls on addresses from which nothing was heard. */
+    private fun seek(
+        state: PeersState,
+        event: PeersEvent.Tick,
+        now: Duration,
+    ): Step<PeersState, PeersAction> {
+        val unheard = state.candidates.filterNot { it in state.peers }
+        val isDue = now - state.soughtAt >= SEEK_INTERVAL || state.sequence == 0L
+        if (unheard.isEmpty() || !isDue) return Step(state)
+        return send(state.copy(soughtAt = now), unheard.shuffledBy(state.sequence), event)
+    }
+
+    private fun send(
+        state: PeersState,
+        addresses: List<String>,
+        event: PeersEvent.Tick,
+    ): Step<PeersState, PeersAction> {
+        val news = PeerNews(
+            sender = state.self,
+            incarnation = state.incarnation,
+            sequence = state.sequence + 1,
+            members = state.peers.keys.take(MAX_MEMBERS),
+            loads = event.loads,
+            lost = event.lost,
+            tables = event.tables,
+        )
+        return Step(
+            state.copy(sequence = news.sequence, told = news),
+            persistentListOf(PeersAction.Tell(addresses, news)),
+        )
+    }
+
+    private fun elsewhere(
+        state: PeersState,
+        lost: Map<String, Int>,
+    ): Step<PeersState, PeersAction> {
+        val loads = state.peers.values.flatMap { it.news.loads.entries }
+            .groupingBy { it.key }.fold(0) { sum, entry -> sum + entry.value }
+        if (loads == state.elsewhere && lost.isEmpty()) return Step(state)
+        val actions: PersistentList<PeersAction> =
+            persistentListOf(PeersAction.Elsewhere(loads, lost))
+        return Step(state.copy(elsewhere = loads), actions)
+    }
+
+    private fun List<String>.shuffledBy(number: Long): List<String> {
+        val start = Math.floorMod(number, size)
+        return (drop(start) + take(start)).take(MAX_SOUGHT)
+    }
+
+    private companion object {
+        val SILENCE = 1500.milliseconds
+        val HEARTBEAT = 400.milliseconds
+        val PAUSE_PER_PEER = 7.milliseconds
+        val SEEK_INTERVAL = 1.seconds
+        const val MAX_MEMBERS = 16
+        const val MAX_SOUGHT = 4
+
+        /** Every so many messages the versions of tables are passed on though they are the same. */
+        const val TABLES_EVERY = 8
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/TableCopy.kt
@@ -0,0 +1,43 @@
+package org.bilberrycart.gateway.peers
+
+import kotlinx.collections.immutable.toPersistentList
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.ByteString
+import kotlinx.serialization.cbor.CborLabel
+import org.bilberrycart.gateway.discovery.StoreReply
+import org.bilberrycart.gateway.discovery.StoreRow
+import org.bilberrycart.gateway.discovery.TableFeed
+import org.bilberrycart.gateway.model.Body
+
+/** A table of the store as one node knows it, for another that can't reach the store. */
+@Serializable
+internal data class TableCopy(
+    @CborLabel(1) val version: Long,
+    @CborLabel(2) val rows: List<Row>,
+) {
+    @Serializable
+    data class Row(
+        @CborLabel(1) val key: String,
+        @ByteString @CborLabel(2) val value: ByteArray,
+        @CborLabel(3) val version: Long,
+    )
+
+    /** Returns the copy as a page of the table. */
+    fun page(): StoreReply.Page = StoreReply.Page(
+        rows = rows.map { StoreRow(it.key, Body(it.value), it.version) }.toPersistentList(),
+        version = version,
+        next = null,
+    )
+
+    companion object {
+        /** Returns the copy of [feed], or null before its first reading. */
+        fun of(feed: TableFeed): TableCopy? = feed.version?.let { version ->
+            TableCopy(
+                version,
+                feed.rows.values.mapNotNull { row ->
+                    row.value?.let { Row(row.key, it.bytes, row.version) }
+                },
+            )
+        }
+    }
+}
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementEvent.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementEvent.kt
@@ -1,5 +1,6 @@
 package org.bilberrycart.gateway.placement
 
+import kotlin.time.Duration
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
 import org.bilberrycart.gateway.model.AttemptKey
@@ -43,9 +44,11 @@
     public data class Probed(val upstream: UpstreamId, val isAlive: Boolean, val cause: String) :
         PlacementEvent()
 
-    /** How many attempts all other nodes have at each upstream, as they last said. */
-    public data class LoadElsewhere(val attempts: PersistentMap<UpstreamId, Int>) :
-        PlacementEvent()
+    /** What other nodes have at each upstream, and how long ago they lost some. */
+    public data class LoadElsewhere(
+        val loads: PersistentMap<UpstreamId, Int>,
+        val lost: PersistentMap<UpstreamId, Duration>,
+    ) : PlacementEvent()
 
     /** Time has passed. */
     public data object Tick : PlacementEvent()
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementFilter.kt
@@ -9,7 +9,7 @@
 import org.bilberrycart.pipeline.Step
 
 /** Decides where each call goes, when it is sent again, and when it ends. */
-public class PlacementFilter(settings: PlacementSettings = PlacementSettings()) :
+public class PlacementFilter(private val settings: PlacementSettings = PlacementSettings()) :
     Filter<PlacementState, PlacementEvent, PlacementAction> {
     private val placing = Placing(settings)
     private val losses = Losses(settings, placing)
@@ -32,7 +32,7 @@
         is PlacementEvent.StreamEnded -> ended(state, event.attempt, now)
         is PlacementEvent.Registered -> registered(state, event.entries)
         is PlacementEvent.Probed -> probed(state, event, now)
-        is PlacementEvent.LoadElsewhere -> Step(elsewhere(state, event))
+        is PlacementEvent.LoadElsewhere -> Step(elsewhere(state, event, now))
         PlacementEvent.Tick -> ticks.tick(state, now)
     }
 
@@ -76,8 +76,16 @@
     private fun elsewhere(
         state: PlacementState,
         event: PlacementEvent.LoadElsewhere,
+        now: Duration,
     ): PlacementState = state.upstreams.values.fold(state) { next, view ->
-        next.with(view.copy(elsewhere = event.attempts[view.entry.id] ?: 0))
+        val id = view.entry.id
+        val lostAt = event.lost[id]?.let { now - it }
+        val heard = view.copy(elsewhere = event.loads[id] ?: 0)
+        when {
+            lostAt != null && lostAt > view.heardAt && view.failures == 0 ->
+                next.with(heard.copy(failures = 1, downUntil = lostAt + settings.firstDown * 2))
+            else -> next.with(heard)
+        }
     }
 
     private fun registered(
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementState.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementState.kt
@@ -13,6 +13,10 @@
     val budgets: PersistentMap<ServiceName, RepeatBudget> = persistentMapOf(),
     val seed: Long = 1,
 ) {
+    /** The work of this node at each upstream: attempts, twice those without an event. */
+    public fun loads(): Map<UpstreamId, Int> = calls.values.flatMap { it.attempts.values }
+        .groupingBy { it.upstream }.fold(0) { sum, it -> sum + if (it.hasEvents) 1 else 2 }
+
     internal fun with(view: UpstreamView): PlacementState =
         copy(upstreams = upstreams.put(view.entry.id, view))
 
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/discovery/DiscoveryFilterTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/discovery/DiscoveryFilterTest.kt
@@ -39,6 +39,7 @@
             is DiscoveryAction.Follow -> "follow ${action.version}"
             is DiscoveryAction.Publish ->
                 "publish " + action.rows.map { it.key }.sorted().joinToString("")
+            is DiscoveryAction.AskPeer -> "ask ${action.address}"
             is DiscoveryAction.Store -> if (action.isBack) "back" else "lost"
         }
 
@@ -87,6 +88,49 @@
             ) { check(it) }
         }
 
+        context("a node that can't read the store") {
+            val away = listOf(page("a"), StoreReply.Failed("503"))
+            val knows = DiscoveryEvent.PeerKnows(StoreTable.UPSTREAMS, "10.0.0.2:1", version = 9)
+            withData(
+                DiscoveryCase(
+                    "asks a peer that knows more",
+                    away,
+                    last = knows,
+                    actions = listOf("ask 10.0.0.2:1"),
+                ),
+                DiscoveryCase(
+                    "asks no peer that knows the same",
+                    away,
+                    last = knows.copy(version = 7),
+                    actions = emptyList(),
+                ),
+                DiscoveryCase(
+                    "asks no peer while the store answers",
+                    listOf(page("a")),
+                    last = knows,
+                    actions = emptyList(),
+                ),
+                DiscoveryCase(
+                    "takes the copy of a peer and goes on asking the store",
+                    away,
+                    last = DiscoveryEvent.PeerSent(
+                        StoreTable.UPSTREAMS,
+                        page("b").copy(version = 9),
+                    ),
+                    actions = listOf("publish b"),
+                ),
+                DiscoveryCase(
+                    "takes no copy that is older than its own",
+                    away,
+                    last = DiscoveryEvent.PeerSent(
+                        StoreTable.UPSTREAMS,
+                        page("b").copy(version = 6),
+                    ),
+                    actions = emptyList(),
+                ),
+            ) { check(it) }
+        }
+
         context("rows that vanish while the store is away") {
             val away = listOf(page("a", "b"), StoreReply.Failed("reset"))
             withData(
--- /dev/null
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/peers/PeersFilterTest.kt
@@ -0,0 +1,134 @@
+package org.bilberrycart.gateway.peers
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.datatest.withData
+import io.kotest.engine.names.WithDataTestName
+import io.kotest.matchers.shouldBe
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.collections.immutable.persistentSetOf
+
+private data class PeersCase(
+    val name: String,
+    val before: List<PeersEvent>,
+    val wait: Duration = 50.milliseconds,
+    val last: PeersEvent,
+    val actions: List<String>,
+) : WithDataTestName {
+    override fun dataTestName(): String = name
+}
+
+private fun tick(loads: Map<String, Int> = emptyMap()) =
+    PeersEvent.Tick(loads, lost = emptyMap(), tables = emptyMap())
+
+private fun news(
+    sender: String,
+    sequence: Long = 1,
+    incarnation: Long = 1,
+    loads: Map<String, Int> = emptyMap(),
+    members: List<String> = emptyList(),
+) = PeersEvent.Received(PeerNews(sender, incarnation, sequence, members, loads))
+
+class PeersFilterTest :
+    FunSpec({
+        fun tell(action: PeersAction): String = when (action) {
+            is PeersAction.Tell -> "tell ${action.addresses.joinToString("+")} ${action.news.loads}"
+            is PeersAction.Elsewhere -> "elsewhere ${action.loads}"
+            is PeersAction.Tables -> "tables"
+            is PeersAction.Believe -> if (action.isAlive) "heard" else "silent"
+        }
+
+        fun check(case: PeersCase) {
+            val filter = PeersFilter()
+            val first = PeersState("me:1", incarnation = 5, persistentSetOf("seed:1"))
+            val state = case.before.fold(first) { state, event ->
+                filter.step(state, event, Duration.ZERO).state
+            }
+            filter.step(state, case.last, case.wait).actions.map(::tell) shouldBe case.actions
+        }
+
+        context("what peers say") {
+            withData(
+                PeersCase(
+                    "loads of all peers are added up",
+                    listOf(news("a:1", loads = mapOf("u" to 2))),
+                    last = news("b:1", loads = mapOf("u" to 1, "v" to 3)),
+                    actions = listOf("heard", "tables", "elsewhere {u=3, v=3}"),
+                ),
+                PeersCase(
+                    "newer news replace older ones",
+                    listOf(news("a:1", loads = mapOf("u" to 2))),
+                    last = news("a:1", sequence = 2),
+                    actions = listOf("elsewhere {}"),
+                ),
+                PeersCase(
+                    "news that overtook others stand",
+                    listOf(news("a:1", sequence = 3, loads = mapOf("u" to 2))),
+                    last = news("a:1", sequence = 2),
+                    actions = emptyList(),
+                ),
+                PeersCase(
+                    "a restarted peer counts from one",
+                    listOf(news("a:1", sequence = 9, loads = mapOf("u" to 2))),
+                    last = news("a:1", sequence = 1, incarnation = 2),
+                    actions = listOf("elsewhere {}"),
+                ),
+                PeersCase(
+                    "its own news that come back say nothing",
+                    emptyList(),
+                    last = news("me:1", loads = mapOf("u" to 2)),
+                    actions = emptyList(),
+                ),
+            ) { check(it) }
+        }
+
+        context("what time brings") {
+            withData(
+                PeersCase(
+                    "a seed is called on until it is heard",
+                    emptyList(),
+                    last = tick(),
+                    actions = listOf("tell seed:1 {}"),
+                ),
+                PeersCase(
+                    "members that a peer names are called on",
+                    listOf(news("seed:1", members = listOf("c:1")), tick()),
+                    wait = 1.seconds,
+                    last = tick(),
+                    actions = listOf("tell seed:1 {}", "tell c:1 {}"),
+                ),
+                PeersCase(
+                    "a change is told soon",
+                    listOf(news("seed:1"), tick()),
+                    last = tick(mapOf("u" to 1)),
+                    actions = listOf("tell seed:1 {u=1}"),
+                ),
+                PeersCase(
+                    "no change is told later",
+                    listOf(news("seed:1"), tick(mapOf("u" to 1))),
+                    wait = 390.milliseconds,
+                    last = tick(emptyMap()).copy(loads = emptyMap()),
+                    actions = listOf("tell seed:1 {}"),
+                ),
+                PeersCase(
+                    "a silent peer has no load",
+                    listOf(news("seed:1", loads = mapOf("u" to 1))),
+                    wait = 1.6.seconds,
+                    last = tick(),
+                    actions = listOf("silent", "elsewhere {}", "tell seed:1 {}"),
+                ),
+            ) { check(it) }
+        }
+
+        test("news survive their encoding") {
+            val sent = PeerNews("a:1", 7, 8, listOf("b:1"), mapOf("u" to 2), mapOf("v" to 30), mapOf("T" to 9))
+            PeerCodec.news(PeerCodec.encode(sent)) shouldBe sent
+        }
+
+        context("bytes that are no news are ignored") {
+            withData(nameFn = { "${it.size} bytes" }, listOf(ByteArray(0), ByteArray(9), "xyz".toByteArray())) {
+                PeerCodec.news(it) shouldBe null
+            }
+        }
+    })
--- a/library/src/main/kotlin/org/bilberrycart/node/ControlDuties.kt
+++ b/library/src/main/kotlin/org/bilberrycart/node/ControlDuties.kt
@@ -98,13 +98,13 @@
 
     private val duties = listOf(platform, configuration, lease, orders)
     private val tickers = listOf(
-        Ticker(STORE_TICK, listOf(Ticker.Target(rings.platform, PlatformEvent.Tick))),
+        Ticker(STORE_TICK, listOf(Ticker.Target(rings.platform) { PlatformEvent.Tick })),
         Ticker(
             CONTROL_TICK,
             listOf(
-                Ticker.Target(rings.configuration, ConfigurationEvent.Tick),
-                Ticker.Target(rings.lease, LeaseEvent.Tick),
-                Ticker.Target(rings.orders, OrdersEvent.Tick),
+                Ticker.Target(rings.configuration) { ConfigurationEvent.Tick },
+                Ticker.Target(rings.lease) { LeaseEvent.Tick },
+                Ticker.Target(rings.orders) { OrdersEvent.Tick },
             ),
         ),
     )
--- a/library/src/main/kotlin/org/bilberrycart/node/NodeMetrics.kt
+++ b/library/src/main/kotlin/org/bilberrycart/node/NodeMetrics.kt
@@ -27,7 +27,7 @@
         clock = clock,
         sink = registry,
     )
-    private val ticker = Ticker(TICK_PERIOD, listOf(Ticker.Target(ring, MetricsEvent.Tick)))
+    private val ticker = Ticker(TICK_PERIOD, listOf(Ticker.Target(ring) { MetricsEvent.Tick }))
 
     fun start() {
         duty.start()
--- a/library/src/main/kotlin/org/bilberrycart/node/Pipeline.kt
+++ b/library/src/main/kotlin/org/bilberrycart/node/Pipeline.kt
@@ -108,21 +108,21 @@
     /** What each duty with a periodic decision gets from the timer. */
     public val ticks: List<Ticker.Target<*>> =
         listOf(
-            Ticker.Target(rings.admission, AdmissionEvent.Tick),
-            Ticker.Target(rings.idempotency, IdempotencyEvent.Tick),
-            Ticker.Target(rings.suspect, SuspectEvent.Tick),
-            Ticker.Target(rings.routing, RoutingEvent.Tick),
-            Ticker.Target(rings.health, HealthEvent.Tick),
-            Ticker.Target(rings.takeover, TakeoverEvent.Tick),
-            Ticker.Target(rings.membership, MembershipEvent.Tick),
-            Ticker.Target(rings.news, NewsEvent.Tick),
+            Ticker.Target(rings.admission) { AdmissionEvent.Tick },
+            Ticker.Target(rings.idempotency) { IdempotencyEvent.Tick },
+            Ticker.Target(rings.suspect) { SuspectEvent.Tick },
+            Ticker.Target(rings.routing) { RoutingEvent.Tick },
+            Ticker.Target(rings.health) { HealthEvent.Tick },
+            Ticker.Target(rings.takeover) { TakeoverEvent.Tick },
+            Ticker.Target(rings.membership) { MembershipEvent.Tick },
+            Ticker.Target(rings.news) { NewsEvent.Tick },
         ) +
-            rings.journal.rings.map { Ticker.Target(it, JournalEvent.Tick) } +
-            rings.release.rings.map { Ticker.Target(it, ReleaseEvent.Tick) }
+            rings.journal.rings.map { Ticker.Target(it) { JournalEvent.Tick } } +
+            rings.release.rings.map { Ticker.Target(it) { ReleaseEvent.Tick } }
 
     /** What replication gets from the timer, more often than the others. */
     public val flushTicks: List<Ticker.Target<*>> =
-        rings.replication.rings.map { Ticker.Target(it, ReplicationEvent.Tick) }
+        rings.replication.rings.map { Ticker.Target(it) { ReplicationEvent.Tick } }
 
     /** This node as the others know it. */
     public val self: Member = peers.self
--- a/library/src/main/kotlin/org/bilberrycart/timer/Ticker.kt
+++ b/library/src/main/kotlin/org/bilberrycart/timer/Ticker.kt
@@ -13,10 +13,10 @@
  */
 public class Ticker(private val period: Duration, private val targets: List<Target<*>>) :
     AutoCloseable {
-    /** A [ring] that gets [tick] as an event. */
-    public class Target<T : Any>(private val ring: Ring<T>, private val tick: T) {
+    /** A [ring] that gets what [tick] returns as an event. */
+    public class Target<T : Any>(private val ring: Ring<T>, private val tick: () -> T) {
         /** Offers the tick; returns whether the ring had room. */
-        public fun fire(): Boolean = ring.offer(tick)
+        public fun fire(): Boolean = ring.offer(tick())
     }
 
     private val lock = ReentrantLock()
