Tell a reset from an orderly close; count and log each decision

Change: connections to upstreams have an end point that reports a reset as a failure. Counters, histograms and the number of dropped log lines on the metrics address; log lines of ended calls carry route, organisation, sendings and time.

--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/discovery/DiscoveryFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/discovery/DiscoveryFilter.kt
@@ -50,7 +50,11 @@
             )
         }.let { step ->
             val isBack = feed.isFailing && reply !is StoreReply.Failed
-            val note = DiscoveryAction.Store(table, isBack = true, "after ${feed.failures} failures")
+            val note = DiscoveryAction.Store(
+                table,
+                isBack = true,
+                "after ${feed.failures} failures",
+            )
             if (isBack) step.copy(actions = step.actions.add(note)) else step
         }
     }
@@ -83,7 +87,11 @@
             version = event.page.version,
         )
         val published = publish(state, event.table, feed, next, now)
-        return published.copy(actions = published.actions.removeAll { it is DiscoveryAction.Follow })
+        return published.copy(
+            actions = published.actions.removeAll {
+                it is DiscoveryAction.Follow
+            },
+        )
     }
 
     private fun failed(
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/discovery/DiscoveryState.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/discovery/DiscoveryState.kt
@@ -6,5 +6,9 @@
 /** The tables as far as they were read. */
 public data class DiscoveryState(
     val feeds: PersistentMap<StoreTable, TableFeed> =
-        persistentMapOf<StoreTable, TableFeed>().putAll(StoreTable.entries.associateWith { TableFeed() }),
+        persistentMapOf<StoreTable, TableFeed>().putAll(
+            StoreTable.entries.associateWith {
+                TableFeed()
+            },
+        ),
 )
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/entry/EntryFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/entry/EntryFilter.kt
@@ -47,12 +47,22 @@
         val route = configuration.routeOf(event.head.host, event.head.path)
             ?: return refuse(state, event, Refusal.UnknownRoute)
         val organisation = event.head.credential?.let { configuration.organisations?.get(it) }
-        if (!route.isPublic && configuration.organisations != null && organisation == null) {
-            return refuse(state, event, Refusal.UnknownKey)
-        }
-        if (event.body.size > configuration.limits.bodyBytes) {
-            return refuse(state, event, Refusal.TooLarge)
+        val needsKey = !route.isPublic && configuration.organisations != null
+        return when {
+            needsKey && organisation == null -> refuse(state, event, Refusal.UnknownKey)
+            event.body.size > configuration.limits.bodyBytes ->
+                refuse(state, event, Refusal.TooLarge)
+            else -> forward(state, configuration, event, route, organisation)
         }
+    }
+
+    private fun forward(
+        state: EntryState,
+        configuration: ServingConfiguration,
+        event: EntryEvent.Received,
+        route: RouteRule,
+        organisation: String?,
+    ): Step<EntryState, EntryAction> {
         val random = Random(state.seed)
         val service = draw(configuration, route, random)
             ?: return refuse(state, event, Refusal.NotRun("unknown service", STARTING_WAIT))
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/entry/EntryState.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/entry/EntryState.kt
@@ -8,7 +8,4 @@
  * @property configuration the newest configuration that was read; null before the first one.
  * @property seed decides how split routes draw; changes with each draw.
  */
-public data class EntryState(
-    val configuration: ServingConfiguration? = null,
-    val seed: Long = 1,
-)
+public data class EntryState(val configuration: ServingConfiguration? = null, val seed: Long = 1)
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/http/FrontHandler.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/http/FrontHandler.kt
@@ -36,7 +36,11 @@
         when (val result = protocol.readHead(request.method, target, headers)) {
             is HeadResult.Unreadable -> refuse(exchange, result.refusal, requestId = null)
             is HeadResult.Read -> readBody(request, exchange, result.head) { body ->
-                submit(request, exchange, EntryEvent.Received(nextKey(), result.head, body, arrivedAt))
+                submit(
+                    request,
+                    exchange,
+                    EntryEvent.Received(nextKey(), result.head, body, arrivedAt),
+                )
             }
         }
         return true
@@ -71,7 +75,11 @@
         if (receive(event)) {
             (end as? CloseWatch)?.watch { if (exchanges.isOpen(event.key)) callerGone(event.key) }
         } else {
-            exchanges.refuse(event.key, event.head.requestId, Refusal.NotRun("queue full", FULL_WAIT))
+            exchanges.refuse(
+                event.key,
+                event.head.requestId,
+                Refusal.NotRun("queue full", FULL_WAIT),
+            )
         }
     }
 
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/http/FrontServer.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/http/FrontServer.kt
@@ -34,7 +34,9 @@
         server.addConnector(callerConnector)
         status.forEach { address ->
             val http: ConnectionFactory = HttpConnectionFactory(configuration())
-            server.addConnector(ServerConnector(server, null, null, null, 0, 1, http).listen(address))
+            server.addConnector(
+                ServerConnector(server, null, null, null, 0, 1, http).listen(address),
+            )
         }
         server.handler = Split(callerHandler)
         server.stopAtShutdown = false
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/http/HttpClients.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/http/HttpClients.kt
@@ -6,7 +6,6 @@
 import org.eclipse.jetty.client.HttpClient
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP
 import org.eclipse.jetty.http.HttpCookieStore
-import org.eclipse.jetty.io.ClientConnector
 import org.eclipse.jetty.util.thread.QueuedThreadPool
 
 /** Makes HTTP clients that send just what they are told: no redirects, cookies or own headers. */
@@ -21,7 +20,7 @@
     /** Returns a started client whose connections are closed after [idle] without use. */
     public fun start(name: String, idle: Duration): HttpClient {
         val threads = QueuedThreadPool(MAX_THREADS, MIN_THREADS).apply { this.name = name }
-        val connector = ClientConnector().apply {
+        val connector = UpstreamConnector().apply {
             selectors = 1
             executor = threads
             connectTimeout = java.time.Duration.ofMillis(CONNECT_TIMEOUT.inWholeMilliseconds)
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/http/UpstreamClient.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/http/UpstreamClient.kt
@@ -106,8 +106,10 @@
 
         private fun opened(answer: AnswerHead) {
             head = answer
-            isStream = order.call.route.repeat is RepeatRule.Stream && answer.isSuccess &&
-                answer.isSigned && answer.requestId == order.call.head.requestId
+            isStream = order.call.route.repeat is RepeatRule.Stream &&
+                answer.isSuccess &&
+                answer.isSigned &&
+                answer.requestId == order.call.head.requestId
             if (isStream) relay(RelayEvent.Opened(attempt, answer))
         }
 
@@ -129,7 +131,10 @@
             when {
                 cause == null && isStream -> relay(RelayEvent.Ended(attempt))
                 cause == null && answer != null -> placement(
-                    PlacementEvent.Answered(attempt, UpstreamAnswer(answer, Body(body.toByteArray()))),
+                    PlacementEvent.Answered(
+                        attempt,
+                        UpstreamAnswer(answer, Body(body.toByteArray())),
+                    ),
                 )
                 !isBegun -> placement(PlacementEvent.Unsent(attempt, cause.toString()))
                 isStream -> relay(RelayEvent.Failed(attempt, cause.toString()))
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/lifecycle/LifecycleFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/lifecycle/LifecycleFilter.kt
@@ -8,8 +8,10 @@
 import org.bilberrycart.pipeline.Step
 
 /**
- * Decides when a node is ready and how it stops: first it says that it isn't ready, then it takes no
- * new connections, and it ends when all answers are given or [grace] is nearly over.
+ * Decides when a node is ready and how it stops.
+ *
+ * First it says that it isn't ready, then it takes no new connections, and it ends when all answers
+ * are given or [grace] is nearly over.
  *
  * @property grace the time from the order to stop until the process is killed.
  */
--- /dev/null
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/metrics/GatewayMetrics.kt
@@ -0,0 +1,85 @@
+package org.bilberrycart.gateway.metrics
+
+import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.GaugeWithCallback
+import io.prometheus.metrics.core.metrics.Histogram
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import java.io.ByteArrayOutputStream
+import kotlin.time.Duration
+import kotlin.time.DurationUnit
+import org.bilberrycart.pipeline.RingStats
+
+/** The counters and histograms of a gateway node. */
+public class GatewayMetrics(rings: () -> List<RingStats>, droppedLines: () -> Long) {
+    private val registry = PrometheusRegistry()
+    private val calls = Counter.builder().name("bilberrycart_gateway_calls_total")
+        .help("Calls that ended, by route and outcome.")
+        .labelNames("route", "outcome").register(registry)
+    private val attempts = Counter.builder().name("bilberrycart_gateway_attempts_total")
+        .help("Sendings to upstreams, by service and by whether the call was sent before.")
+        .labelNames("service", "kind").register(registry)
+    private val beliefs = Counter.builder().name("bilberrycart_gateway_beliefs_total")
+        .help("Changes of what the node believes, by subject and belief.")
+        .labelNames("subject", "belief").register(registry)
+    private val duration = Histogram.builder().name("bilberrycart_gateway_call_seconds")
+        .help("Time from the head of a request to the end of its answer, by route.")
+        .classicOnly().classicExponentialUpperBounds(
+            FIRST_BOUND,
+            BOUND_RATIO,
+            BOUNDS,
+        ).labelNames("route").register(registry)
+    private val byOrganisation = Histogram.builder().name("bilberrycart_gateway_answer_seconds")
+        .help("Time to the answer or the first event, by organisation.")
+        .classicOnly().classicExponentialUpperBounds(
+            FIRST_BOUND,
+            BOUND_RATIO,
+            BOUNDS,
+        ).labelNames("organisation").register(registry)
+
+    init {
+        GaugeWithCallback.builder().name("bilberrycart_gateway_ring_held")
+            .help("Items in each ring.").labelNames("ring")
+            .callback { gauge -> rings().forEach { gauge.call(it.held.toDouble(), it.name) } }
+            .register(registry)
+        GaugeWithCallback.builder().name("bilberrycart_gateway_ring_refused")
+            .help("Items that each full ring refused since the start.").labelNames("ring")
+            .callback { gauge -> rings().forEach { gauge.call(it.refused.toDouble(), it.name) } }
+            .register(registry)
+        GaugeWithCallback.builder().name("bilberrycart_gateway_log_lines_dropped")
+            .help("Log lines that found the queue full since the start.")
+            .callback { gauge -> gauge.call(droppedLines().toDouble()) }
+            .register(registry)
+    }
+
+    /** Counts a call of [route] that ended with [outcome] after [elapsed]. */
+    public fun ended(route: String, outcome: String, elapsed: Duration) {
+        calls.labelValues(route, outcome).inc()
+        duration.labelValues(route).observe(elapsed.toDouble(DurationUnit.SECONDS))
+    }
+
+    /** Counts the answer, or the first event, that [organisation] got after [elapsed]. */
+    public fun answered(organisation: String?, elapsed: Duration): Unit =
+        byOrganisation.labelValues(organisation.orEmpty())
+            .observe(elapsed.toDouble(DurationUnit.SECONDS))
+
+    /** Counts a sending to [service]. */
+    public fun sent(service: String, isRepeat: Boolean): Unit =
+        attempts.labelValues(service, if (isRepeat) "repeat" else "first").inc()
+
+    /** Counts a change of what the node believes of a [subject]. */
+    public fun believed(subject: String, belief: String): Unit =
+        beliefs.labelValues(subject, belief).inc()
+
+    /** Returns all metrics in the text format of Prometheus. */
+    public fun text(): String = ByteArrayOutputStream().also {
+        PrometheusTextFormatWriter.create().write(it, registry.scrape())
+    }.toString(Charsets.UTF_8)
+
+    private companion object {
+        /** The first upper bound of the histograms, in seconds; the last is about 36 s. */
+        const val FIRST_BOUND = 0.02
+        const val BOUND_RATIO = 1.78
+        const val BOUNDS = 14
+    }
+}
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DecisionLog.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DecisionLog.kt
@@ -1,17 +1,24 @@
 package org.bilberrycart.gateway.node
 
+import kotlin.time.Duration
 import org.bilberrycart.gateway.discovery.DiscoveryAction
 import org.bilberrycart.gateway.entry.EntryAction
 import org.bilberrycart.gateway.lifecycle.LifecycleAction
 import org.bilberrycart.gateway.peers.PeersAction
+import org.bilberrycart.gateway.placement.CallState
 import org.bilberrycart.gateway.placement.PlacementAction
 import org.bilberrycart.gateway.placement.SendOrder
+import org.bilberrycart.gateway.relay.RelayAction
 import org.slf4j.LoggerFactory
 
 /** One line for each decision: `event=name`, the request's id, what decided it and the outcome. */
 internal class DecisionLog(private val node: String) {
-    fun started(settings: GatewaySettings) =
-        log.info("event=started node={} callers={} store={}", node, settings.callers, settings.store)
+    fun started(settings: GatewaySettings) = log.info(
+        "event=started node={} callers={} store={}",
+        node,
+        settings.callers,
+        settings.store,
+    )
 
     fun entry(action: EntryAction) = when (action) {
         is EntryAction.Forward -> log.info(
@@ -33,7 +40,7 @@
             log.info("event=configuration_in_force version={}", action.configuration.version)
     }
 
-    fun placement(action: PlacementAction) = when (action) {
+    fun placement(action: PlacementAction, now: Duration) = when (action) {
         is PlacementAction.Send -> sent(action.order, action.why)
         is PlacementAction.Cancel -> log.info(
             "event=attempt_cancelled call={} attempt={} upstream={} why=\"{}\"",
@@ -42,22 +49,20 @@
             action.upstream.value,
             action.why,
         )
-        is PlacementAction.Deliver -> log.info(
-            "event=answered request={} status={} bytes={}",
-            action.requestId,
-            action.answer.head.status,
-            action.answer.body.size,
+        is PlacementAction.Deliver -> ended(
+            action.call,
+            "answered",
+            "status ${action.answer.head.status}, ${action.answer.body.size} bytes",
+            now,
         )
-        is PlacementAction.Refuse -> log.info(
-            "event=refused request={} code={} reason=\"{}\"",
-            action.requestId,
-            action.refusal.code,
-            action.refusal.reason,
+        is PlacementAction.Refuse -> ended(
+            action.call,
+            "refused",
+            "code ${action.refusal.code}, ${action.refusal.reason}",
+            now,
         )
-        is PlacementAction.Abort ->
-            log.info("event=stream_aborted request={} why=\"{}\"", action.requestId, action.why)
-        is PlacementAction.Forget ->
-            log.info("event=call_ended request={} why=\"{}\"", action.requestId, action.why)
+        is PlacementAction.Abort -> ended(action.call, "broken_off", action.why, now)
+        is PlacementAction.Forget -> ended(action.call, "ended", action.why, now)
         is PlacementAction.Probe -> log.info(
             "event=probe upstream={} silent_ms={}",
             action.upstream.id.value,
@@ -71,6 +76,28 @@
         )
     }
 
+    private fun ended(state: CallState, event: String, why: String, now: Duration) = log.info(
+        "event={} request={} call={} route={} organisation={} sendings={} may_have_run={} " +
+            "losses={} elapsed_ms={} why=\"{}\"",
+        event,
+        state.call.head.requestId,
+        state.call.key.number,
+        state.call.route.name,
+        state.call.organisation,
+        state.sendings,
+        state.runs,
+        state.losses,
+        (now - state.call.arrivedAt).inWholeMilliseconds,
+        why,
+    )
+
+    fun opened(action: RelayAction.Open, now: Duration) = log.info(
+        "event=stream_opened request={} status={} elapsed_ms={}",
+        action.call.head.requestId,
+        action.head.status,
+        (now - action.call.arrivedAt).inWholeMilliseconds,
+    )
+
     fun discovery(action: DiscoveryAction.Store) = log.info(
         "event=store_{} table={} cause=\"{}\"",
         if (action.isBack) "back" else "lost",
@@ -101,7 +128,8 @@
     fun lifecycle(action: LifecycleAction) = log.info("event=lifecycle action=\"{}\"", action)
 
     private fun sent(order: SendOrder, why: String) = log.info(
-        "event=sent request={} call={} attempt={} upstream={} backup={} copy={} left_ms={} why=\"{}\"",
+        "event=sent request={} call={} attempt={} upstream={} backup={} copy={} left_ms={} " +
+            "why=\"{}\"",
         order.call.head.requestId,
         order.attempt.call.number,
         order.attempt.number,
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/GatewayNode.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/GatewayNode.kt
@@ -27,7 +27,10 @@
 import org.bilberrycart.gateway.lifecycle.LifecycleEvent
 import org.bilberrycart.gateway.lifecycle.LifecycleFilter
 import org.bilberrycart.gateway.lifecycle.LifecycleState
+import org.bilberrycart.gateway.metrics.CountingAsyncAppender
+import org.bilberrycart.gateway.metrics.GatewayMetrics
 import org.bilberrycart.gateway.model.RequestLimits
+import org.bilberrycart.gateway.placement.CallState
 import org.bilberrycart.gateway.placement.PlacementAction
 import org.bilberrycart.gateway.placement.PlacementEvent
 import org.bilberrycart.gateway.placement.PlacementFilter
@@ -98,6 +101,13 @@
         clock,
         ::onLifecycle,
     )
+    private val metrics = GatewayMetrics(
+        rings = {
+            listOf(entryRing, placementRing, relayRing, discoveryRing, lifecycleRing)
+                .map { it.stats() }
+        },
+        droppedLines = CountingAsyncAppender::dropped,
+    )
     private val peerLinks = PeerLinks(
         settings,
         clock,
@@ -132,7 +142,9 @@
             receive = entryRing::offer,
             callerGone = { placementRing.put(PlacementEvent.CallerGone(it)) },
         ),
-        statusHandler = StatusHandler(protocol.readyTarget, { isReady }, peerLinks::tableCopy) { "" },
+        statusHandler = StatusHandler(protocol.readyTarget, {
+            isReady
+        }, peerLinks::tableCopy, metrics::text),
     )
 
     /** Starts all duties and listens. */
@@ -168,30 +180,61 @@
     }
 
     private fun onPlacement(action: PlacementAction) {
-        log.placement(action)
+        log.placement(action, clock.now())
+        count(action)
         when (action) {
             is PlacementAction.Send -> relayRing.put(RelayEvent.Begin(action.order))
             is PlacementAction.Cancel -> upstreams.cancel(action.attempt, action.why)
             is PlacementAction.Deliver -> {
-                exchanges.deliver(action.key, action.answer)
-                relayRing.put(RelayEvent.Stop(action.key, isAborted = false))
+                exchanges.deliver(action.call.call.key, action.answer)
+                stopStream(action.call, isAborted = false)
             }
             is PlacementAction.Refuse -> {
-                exchanges.refuse(action.key, action.requestId, action.refusal)
-                relayRing.put(RelayEvent.Stop(action.key, isAborted = false))
+                val call = action.call.call
+                exchanges.refuse(call.key, call.head.requestId, action.refusal)
+                stopStream(action.call, isAborted = false)
             }
-            is PlacementAction.Abort -> relayRing.put(RelayEvent.Stop(action.key, isAborted = true))
-            is PlacementAction.Forget ->
-                relayRing.put(RelayEvent.Stop(action.key, isAborted = action.why == "caller gone"))
+            is PlacementAction.Abort -> stopStream(action.call, isAborted = true)
+            is PlacementAction.Forget -> stopStream(action.call, isAborted = true)
             is PlacementAction.Probe ->
                 upstreams.probe(action.upstream, placementSettings.probeTimeout * 2)
             is PlacementAction.Believe -> Unit
         }
     }
 
+    private fun stopStream(state: CallState, isAborted: Boolean) {
+        relayRing.put(RelayEvent.Stop(state.call.key, isAborted))
+    }
+
+    private fun count(action: PlacementAction): Unit = when (action) {
+        is PlacementAction.Send -> metrics.sent(
+            action.order.call.service.name.value,
+            isRepeat = action.order.attempt.number > 1,
+        )
+        is PlacementAction.Deliver -> {
+            val call = action.call.call
+            metrics.answered(call.organisation, clock.now() - call.arrivedAt)
+            ended(action.call, "status_${action.answer.head.status}")
+        }
+        is PlacementAction.Refuse -> ended(action.call, "code_${action.refusal.code}")
+        is PlacementAction.Abort -> ended(action.call, "broken_off")
+        is PlacementAction.Forget -> ended(action.call, action.why.replace(' ', '_'))
+        is PlacementAction.Believe -> metrics.believed("upstream", action.belief)
+        is PlacementAction.Probe -> metrics.believed("upstream", "probed")
+        is PlacementAction.Cancel -> Unit
+    }
+
+    private fun ended(state: CallState, outcome: String) =
+        metrics.ended(state.call.route.name, outcome, clock.now() - state.call.arrivedAt)
+
     private fun onRelay(action: RelayAction): Unit = when (action) {
         is RelayAction.Send -> upstreams.send(action.order, action.lastEvent)
-        is RelayAction.Open -> exchanges.open(action.key, action.head)
+        is RelayAction.Open -> {
+            val elapsed = clock.now() - action.call.arrivedAt
+            metrics.answered(action.call.organisation, elapsed)
+            log.opened(action, clock.now())
+            exchanges.open(action.call.key, action.head)
+        }
         is RelayAction.Write -> exchanges.write(action.attempt.call, action.bytes) {
             upstreams.demand(action.attempt)
         }
@@ -211,7 +254,10 @@
         }
         is DiscoveryAction.AskPeer -> peerLinks.ask(action)
         is DiscoveryAction.Publish -> publish(action)
-        is DiscoveryAction.Store -> log.discovery(action)
+        is DiscoveryAction.Store -> {
+            metrics.believed("store", if (action.isBack) "back" else "lost")
+            log.discovery(action)
+        }
     }
 
     private fun replied(table: StoreTable, reply: org.bilberrycart.gateway.discovery.StoreReply) {
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeerNews.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeerNews.kt
@@ -16,11 +16,11 @@
  */
 @Serializable
 public data class PeerNews(
-    @CborLabel(1) val sender: String,
-    @CborLabel(2) val incarnation: Long,
-    @CborLabel(3) val sequence: Long,
-    @CborLabel(4) val members: List<String> = emptyList(),
-    @CborLabel(5) val loads: Map<String, Int> = emptyMap(),
-    @CborLabel(6) val lost: Map<String, Int> = emptyMap(),
-    @CborLabel(7) val tables: Map<String, Long> = emptyMap(),
+    @CborLabel(label = 1) val sender: String,
+    @CborLabel(label = 2) val incarnation: Long,
+    @CborLabel(label = 3) val sequence: Long,
+    @CborLabel(label = 4) val members: List<String> = emptyList(),
+    @CborLabel(label = 5) val loads: Map<String, Int> = emptyMap(),
+    @CborLabel(label = 6) val lost: Map<String, Int> = emptyMap(),
+    @CborLabel(label = 7) val tables: Map<String, Long> = emptyMap(),
 )
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeerSocket.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeerSocket.kt
@@ -18,7 +18,7 @@
 import kotlinx.io.readByteArray
 import org.slf4j.LoggerFactory
 
-/** Sends news as datagrams and hands those that come in to [receive]; what can't be sent is lost. */
+/** Sends news as datagrams and hands those that come in to [receive]; some may be lost. */
 internal class PeerSocket(host: String, port: Int, private val receive: (PeerNews) -> Unit) :
     AutoCloseable {
     private val threads = Executors.newSingleThreadExecutor { Thread(it, "peers-io").daemon() }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeersFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeersFilter.kt
@@ -42,15 +42,18 @@
         val actions = listOfNotNull(
             PeersAction.Believe(news.sender, isAlive = true).takeIf { isNew },
             PeersAction.Tables(news.sender, news.tables)
-                .takeIf { known?.news?.tables != news.tables || news.sequence % TABLES_EVERY == 0L },
+                .takeIf {
+                    known?.news?.tables != news.tables || news.sequence % TABLES_EVERY == 0L
+                },
         )
         return Step(next.state, (actions + next.actions).toPersistentList())
     }
 
-    private fun isOld(known: PeerNews?, news: PeerNews): Boolean = known != null && when {
-        news.incarnation != known.incarnation -> news.incarnation < known.incarnation
-        else -> news.sequence <= known.sequence
-    }
+    private fun isOld(known: PeerNews?, news: PeerNews): Boolean = known != null &&
+        when {
+            news.incarnation != known.incarnation -> news.incarnation < known.incarnation
+            else -> news.sequence <= known.sequence
+        }
 
     private fun tick(
         state: PeersState,
@@ -72,13 +75,14 @@
         )
     }
 
-    /** Tells peers what has changed, or that nothing has, at a rate that falls with their number. */
+    /** Tells peers what is new, or that nothing is, at a rate that falls with their number. */
     private fun tell(
         state: PeersState,
         event: PeersEvent.Tick,
         now: Duration,
     ): Step<PeersState, PeersAction> {
-        val isChanged = state.told?.loads != event.loads || state.told.tables != event.tables ||
+        val isChanged = state.told?.loads != event.loads ||
+            state.told.tables != event.tables ||
             event.lost.isNotEmpty()
         val pause = if (isChanged) PAUSE_PER_PEER * state.peers.size else HEARTBEAT
         if (state.peers.isEmpty() || now - state.toldAt < pause) return Step(state)
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/TableCopy.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/TableCopy.kt
@@ -12,14 +12,14 @@
 /** A table of the store as one node knows it, for another that can't reach the store. */
 @Serializable
 internal data class TableCopy(
-    @CborLabel(1) val version: Long,
-    @CborLabel(2) val rows: List<Row>,
+    @CborLabel(label = 1) val version: Long,
+    @CborLabel(label = 2) val rows: List<Row>,
 ) {
     @Serializable
     data class Row(
-        @CborLabel(1) val key: String,
-        @ByteString @CborLabel(2) val value: ByteArray,
-        @CborLabel(3) val version: Long,
+        @CborLabel(label = 1) val key: String,
+        @ByteString @CborLabel(label = 2) val value: ByteArray,
+        @CborLabel(label = 3) val version: Long,
     )
 
     /** Returns the copy as a page of the table. */
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/Ending.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/Ending.kt
@@ -21,7 +21,7 @@
     ): Step<PlacementState, PlacementAction> = end(
         state,
         call,
-        PlacementAction.Deliver(call.call.key, call.call.head.requestId, answer),
+        PlacementAction.Deliver(call, answer),
         why = "answered",
         winner,
     )
@@ -35,7 +35,7 @@
     ): Step<PlacementState, PlacementAction> = end(
         state,
         call,
-        PlacementAction.Forget(call.call.key, call.call.head.requestId, why),
+        PlacementAction.Forget(call, why),
         why,
         winner,
     )
@@ -47,14 +47,12 @@
         why: String,
         now: Duration,
     ): Step<PlacementState, PlacementAction> {
-        val key = call.call.key
-        val id = call.call.head.requestId
         val last = when {
-            call.isOpen -> PlacementAction.Abort(key, id, why)
-            call.failure != null -> PlacementAction.Deliver(key, id, call.failure)
-            call.runs == 0 -> PlacementAction.Refuse(key, id, Refusal.NotRun(why, COME_BACK))
-            now >= call.call.endsAt -> PlacementAction.Refuse(key, id, Refusal.TimedOut(why))
-            else -> PlacementAction.Refuse(key, id, Refusal.Broken(why))
+            call.isOpen -> PlacementAction.Abort(call, why)
+            call.failure != null -> PlacementAction.Deliver(call, call.failure)
+            call.runs == 0 -> PlacementAction.Refuse(call, Refusal.NotRun(why, COME_BACK))
+            now >= call.call.endsAt -> PlacementAction.Refuse(call, Refusal.TimedOut(why))
+            else -> PlacementAction.Refuse(call, Refusal.Broken(why))
         }
         return end(state, call, last, why)
     }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementAction.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementAction.kt
@@ -1,7 +1,6 @@
 package org.bilberrycart.gateway.placement
 
 import org.bilberrycart.gateway.model.AttemptKey
-import org.bilberrycart.gateway.model.CallKey
 import org.bilberrycart.gateway.model.Refusal
 import org.bilberrycart.gateway.model.UpstreamAnswer
 import org.bilberrycart.gateway.model.UpstreamEntry
@@ -17,20 +16,17 @@
         PlacementAction()
 
     /** Give the caller an upstream's answer. */
-    public data class Deliver(val key: CallKey, val requestId: String, val answer: UpstreamAnswer) :
+    public data class Deliver(val call: CallState, val answer: UpstreamAnswer) :
         PlacementAction()
 
     /** Give the caller an answer of the node's own. */
-    public data class Refuse(val key: CallKey, val requestId: String, val refusal: Refusal) :
-        PlacementAction()
+    public data class Refuse(val call: CallState, val refusal: Refusal) : PlacementAction()
 
     /** Break off a stream of which the caller has a part. */
-    public data class Abort(val key: CallKey, val requestId: String, val why: String) :
-        PlacementAction()
+    public data class Abort(val call: CallState, val why: String) : PlacementAction()
 
     /** Forget a call whose caller has its answer or has gone. */
-    public data class Forget(val key: CallKey, val requestId: String, val why: String) :
-        PlacementAction()
+    public data class Forget(val call: CallState, val why: String) : PlacementAction()
 
     /** Ask an upstream for a sign of life. */
     public data class Probe(val upstream: UpstreamEntry, val silentMillis: Long) :
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementFilter.kt
@@ -128,7 +128,9 @@
                 else -> null
             }
         }
-        return (changed + gone.filterNot { it.entry.isLeaving && it.running > 0 }
-            .map { PlacementAction.Believe(it.entry.id, "gone", "registry") }).toPersistentList()
+        return (
+            changed + gone.filterNot { it.entry.isLeaving && it.running > 0 }
+                .map { PlacementAction.Believe(it.entry.id, "gone", "registry") }
+            ).toPersistentList()
     }
 }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementState.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementState.kt
@@ -15,7 +15,9 @@
 ) {
     /** The work of this node at each upstream: attempts, twice those without an event. */
     public fun loads(): Map<UpstreamId, Int> = calls.values.flatMap { it.attempts.values }
-        .groupingBy { it.upstream }.fold(0) { sum, it -> sum + if (it.hasEvents) 1 else 2 }
+        .groupingBy {
+            it.upstream
+        }.fold(0) { sum, attempt -> sum + if (attempt.hasEvents) 1 else 2 }
 
     internal fun with(view: UpstreamView): PlacementState =
         copy(upstreams = upstreams.put(view.entry.id, view))
@@ -23,8 +25,6 @@
     internal fun with(call: CallState): PlacementState =
         copy(calls = calls.put(call.call.key, call))
 
-    internal fun update(
-        id: UpstreamId?,
-        change: (UpstreamView) -> UpstreamView,
-    ): PlacementState = upstreams[id]?.let { with(change(it)) } ?: this
+    internal fun update(id: UpstreamId?, change: (UpstreamView) -> UpstreamView): PlacementState =
+        upstreams[id]?.let { with(change(it)) } ?: this
 }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/Placing.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/Placing.kt
@@ -36,8 +36,10 @@
         now: Duration,
     ): Step<PlacementState, PlacementAction> {
         val choice = Chooser(state, now).choose(call)
-        val mayHedge = call.hasAttemptsLeft && isInBudget(state, call, now) &&
-            choice != null && choice.entry.id !in call.tried
+        val mayHedge = call.hasAttemptsLeft &&
+            isInBudget(state, call, now) &&
+            choice != null &&
+            choice.entry.id !in call.tried
         return if (mayHedge) send(state, call, now, "hedge") else Step(state)
     }
 
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/Ticks.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/Ticks.kt
@@ -63,7 +63,13 @@
     ): Step<PlacementState, PlacementAction> {
         val first = call.attempts.values.first()
         val isSlow = now - first.sentAt > call.call.route.objective * settings.hedgeShare
-        return if (isSlow && call.attempts.size == 1) placing.hedge(state, call, now) else Step(state)
+        return if (isSlow &&
+            call.attempts.size == 1
+        ) {
+            placing.hedge(state, call, now)
+        } else {
+            Step(state)
+        }
     }
 
     private fun streaming(
@@ -81,7 +87,13 @@
         val patience = if (attempt.hasEvents) settings.streamSilence else settings.startSilence
         return when {
             silent > stall && call.hasAttemptsLeft && call.call.route.repeat.mayRunAgain ->
-                losses.abandon(state, call, attempt, "silent for ${silent.inWholeMilliseconds} ms", now)
+                losses.abandon(
+                    state,
+                    call,
+                    attempt,
+                    "silent for ${silent.inWholeMilliseconds} ms",
+                    now,
+                )
             silent > patience && now - view.heardAt > patience -> probe(state, view, silent, now)
             else -> Step(state)
         }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/UpstreamView.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/UpstreamView.kt
@@ -33,8 +33,10 @@
     val probedAt: Duration? = null,
 ) {
     /** Whether it may get new work at [now]. */
-    public fun isUsable(now: Duration): Boolean = !entry.isLeaving && !isReplaced &&
-        probeSentAt == null && (downUntil == null || downUntil <= now)
+    public fun isUsable(now: Duration): Boolean = !entry.isLeaving &&
+        !isReplaced &&
+        probeSentAt == null &&
+        (downUntil == null || downUntil <= now)
 
     /** Returns the weight of recent failures at [now]. */
     public fun failureWeightAt(now: Duration): Double = failureWeight *
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/relay/EventFrames.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/relay/EventFrames.kt
@@ -21,7 +21,13 @@
             val ends = ends(bytes)
             val end = ends.lastOrNull() ?: 0
             val starts = listOf(0) + ends.dropLast(1)
-            val ids = if (ends.isEmpty()) emptyList() else starts.zip(ends) { from, to -> id(bytes, from, to) }
+            val ids = if (ends.isEmpty()) {
+                emptyList()
+            } else {
+                starts.zip(ends) { from, to ->
+                    id(bytes, from, to)
+                }
+            }
             return EventFrames(
                 whole = Body(bytes.copyOfRange(0, end)),
                 rest = Body(bytes.copyOfRange(end, bytes.size)),
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/relay/RelayAction.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/relay/RelayAction.kt
@@ -4,6 +4,7 @@
 import org.bilberrycart.gateway.model.AttemptKey
 import org.bilberrycart.gateway.model.Body
 import org.bilberrycart.gateway.model.CallKey
+import org.bilberrycart.gateway.model.RoutedCall
 import org.bilberrycart.gateway.placement.PlacementEvent
 import org.bilberrycart.gateway.placement.SendOrder
 
@@ -13,7 +14,7 @@
     public data class Send(val order: SendOrder, val lastEvent: Long?) : RelayAction()
 
     /** Give the caller the head of the answer. */
-    public data class Open(val key: CallKey, val head: AnswerHead) : RelayAction()
+    public data class Open(val call: RoutedCall, val head: AnswerHead) : RelayAction()
 
     /** Give the caller whole events, then ask [attempt] for more. */
     public data class Write(val attempt: AttemptKey, val bytes: Body) : RelayAction()
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/relay/RelayFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/relay/RelayFilter.kt
@@ -35,7 +35,7 @@
         val stream = known?.copy(current = event.order.attempt, rest = Body.EMPTY)
             ?: RelayedStream(
                 current = event.order.attempt,
-                requestId = event.order.call.head.requestId,
+                call = event.order.call,
                 lastEvent = event.order.call.head.lastEvent,
             )
         return state.with(stream).withActions(RelayAction.Send(event.order, stream.lastEvent))
@@ -48,7 +48,7 @@
         return when {
             stream.isOpen -> state.withActions(report)
             else -> state.with(stream.copy(isOpen = true)).withActions(
-                RelayAction.Open(event.attempt.call, event.head),
+                RelayAction.Open(stream.call, event.head),
                 report,
             )
         }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/relay/RelayedStream.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/relay/RelayedStream.kt
@@ -2,6 +2,7 @@
 
 import org.bilberrycart.gateway.model.AttemptKey
 import org.bilberrycart.gateway.model.Body
+import org.bilberrycart.gateway.model.RoutedCall
 
 /**
  * A stream on its way to a caller.
@@ -13,7 +14,7 @@
  */
 public data class RelayedStream(
     val current: AttemptKey,
-    val requestId: String,
+    val call: RoutedCall,
     val lastEvent: Long?,
     val rest: Body = Body.EMPTY,
     val isOpen: Boolean = false,
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/entry/EntryFilterTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/entry/EntryFilterTest.kt
@@ -117,7 +117,13 @@
                 filter.step(state, EntryEvent.Configured(configuration), Duration.ZERO).state
             }
             val event = EntryEvent.Received(CallKey(1), case.head, case.body, Duration.ZERO)
-            val outcome = when (val action = filter.step(state, event, Duration.ZERO).actions.single()) {
+            val outcome = when (
+                val action = filter.step(
+                    state,
+                    event,
+                    Duration.ZERO,
+                ).actions.single()
+            ) {
                 is EntryAction.Forward ->
                     "${action.call.route.name} ${action.call.organisation} ${action.version}"
                 is EntryAction.Refuse -> when (action.refusal) {
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/peers/PeersFilterTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/peers/PeersFilterTest.kt
@@ -122,12 +122,25 @@
         }
 
         test("news survive their encoding") {
-            val sent = PeerNews("a:1", 7, 8, listOf("b:1"), mapOf("u" to 2), mapOf("v" to 30), mapOf("T" to 9))
+            val sent =
+                PeerNews(
+                    "a:1",
+                    7,
+                    8,
+                    listOf("b:1"),
+                    mapOf("u" to 2),
+                    mapOf("v" to 30),
+                    mapOf(
+                        "T" to 9,
+                    ),
+                )
             PeerCodec.news(PeerCodec.encode(sent)) shouldBe sent
         }
 
         context("bytes that are no news are ignored") {
-            withData(nameFn = { "${it.size} bytes" }, listOf(ByteArray(0), ByteArray(9), "xyz".toByteArray())) {
+            withData(nameFn = {
+                "${it.size} bytes"
+            }, listOf(ByteArray(0), ByteArray(9), "xyz".toByteArray())) {
                 PeerCodec.news(it) shouldBe null
             }
         }
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/PlacementFilterTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/PlacementFilterTest.kt
@@ -59,7 +59,10 @@
                 PlacementCase(
                     "it goes elsewhere when the upstream says that it did not run",
                     once,
-                    last = PlacementEvent.Answered(attempt(), Samples.answer(503, didNotRun = true)),
+                    last = PlacementEvent.Answered(
+                        attempt(),
+                        Samples.answer(503, didNotRun = true),
+                    ),
                     actions = listOf("send other"),
                 ),
                 PlacementCase(
@@ -77,7 +80,10 @@
                 PlacementCase(
                     "an unsigned success is not delivered",
                     once,
-                    last = PlacementEvent.Answered(attempt(), Samples.answer(200, isSigned = false)),
+                    last = PlacementEvent.Answered(
+                        attempt(),
+                        Samples.answer(200, isSigned = false),
+                    ),
                     actions = listOf("refuse broken"),
                 ),
                 PlacementCase(
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/PlacementRun.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/PlacementRun.kt
@@ -21,7 +21,11 @@
     }
 
     fun register(vararg ids: String): List<String> = step(
-        PlacementEvent.Registered(ids.map { Samples.entry(it.take(1), it.drop(1)) }.toPersistentList()),
+        PlacementEvent.Registered(
+            ids.map {
+                Samples.entry(it.take(1), it.drop(1))
+            }.toPersistentList(),
+        ),
     )
 
     private fun tell(action: PlacementAction): String = when (action) {
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/StreamPlacementTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/StreamPlacementTest.kt
@@ -59,7 +59,10 @@
                 StreamCase(
                     "from the prompt when the copy is refused",
                     before = opened + PlacementEvent.Broken(attempt(), "reset"),
-                    last = PlacementEvent.Answered(attempt(2), Samples.answer(503, didNotRun = true)),
+                    last = PlacementEvent.Answered(
+                        attempt(2),
+                        Samples.answer(503, didNotRun = true),
+                    ),
                     actions = listOf("send second"),
                 ),
                 StreamCase(
