--- a/daemon/src/main/kotlin/org/bilberrycart/daemon/FrontMain.kt
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/FrontMain.kt
@@ -5,6 +5,7 @@
 import kotlin.time.Duration.Companion.seconds
 import org.bilberrycart.gateway.http.HttpClients
 import org.bilberrycart.gateway.node.GatewayNode
+import org.bilberrycart.gateway.node.GatewaySettings
 import org.bilberrycart.gateway.node.SettingsFile
 import org.bilberrycart.gateway.node.SettingsResult
 import org.bilberrycart.platform.PlatformProtocol
@@ -17,16 +18,21 @@
 
 /** Runs one node on the users' platform, with the settings file that the environment names. */
 fun main() {
+    startNode()
+}
+
+/** Starts a node that drains when the process is told to end; returns its settings. */
+internal fun startNode(): GatewaySettings {
     val path = System.getenv(SETTINGS_VARIABLE) ?: fail("$SETTINGS_VARIABLE is not set")
-    when (val result = SettingsFile.read(Path.of(path))) {
+    val settings = when (val result = SettingsFile.read(Path.of(path))) {
         is SettingsResult.Unusable -> fail(result.reason)
-        is SettingsResult.Read -> {
-            val store = PlatformStore(HttpClients.start("store", STORE_IDLE), result.settings.store)
-            val node = GatewayNode(result.settings, PlatformProtocol(), store, PlatformRows())
-            Runtime.getRuntime().addShutdownHook(Thread(node::stop))
-            node.start()
-        }
+        is SettingsResult.Read -> result.settings
     }
+    val store = PlatformStore(HttpClients.start("store", STORE_IDLE), settings.store)
+    val node = GatewayNode(settings, PlatformProtocol(), store, PlatformRows())
+    Runtime.getRuntime().addShutdownHook(Thread(node::stop))
+    node.start()
+    return settings
 }
 
 private fun fail(reason: String): Nothing {
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/entry/EntryEvent.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/entry/EntryEvent.kt
@@ -16,6 +16,9 @@
         val arrivedAt: Duration,
     ) : EntryEvent()
 
+    /** The process has too little time left for a stream. */
+    public data object RefuseStreams : EntryEvent()
+
     /** A configuration was read from the store or came from a peer. */
     public data class Configured(val configuration: ServingConfiguration) : EntryEvent()
 }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/entry/EntryFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/entry/EntryFilter.kt
@@ -4,6 +4,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import org.bilberrycart.gateway.model.Refusal
+import org.bilberrycart.gateway.model.RepeatRule
 import org.bilberrycart.gateway.model.RouteRule
 import org.bilberrycart.gateway.model.RoutedCall
 import org.bilberrycart.gateway.model.ServiceRule
@@ -25,6 +26,7 @@
         now: Duration,
     ): Step<EntryState, EntryAction> = when (event) {
         is EntryEvent.Configured -> configured(state, event.configuration)
+        EntryEvent.RefuseStreams -> Step(state.copy(isStopping = true))
         is EntryEvent.Received -> received(state, event)
     }
 
@@ -52,6 +54,8 @@
             needsKey && organisation == null -> refuse(state, event, Refusal.UnknownKey)
             event.body.size > configuration.limits.bodyBytes ->
                 refuse(state, event, Refusal.TooLarge)
+            state.isStopping && route.repeat is RepeatRule.Stream ->
+                refuse(state, event, Refusal.NotRun("the node stops", STOPPING_WAIT))
             else -> forward(state, configuration, event, route, organisation)
         }
     }
@@ -114,5 +118,8 @@
     private companion object {
         /** How soon a caller should come back to a node that is still starting. */
         val STARTING_WAIT = 0.3.seconds
+
+        /** How soon a caller should look for another node. */
+        val STOPPING_WAIT = 1.seconds
     }
 }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/lifecycle/LifecycleAction.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/lifecycle/LifecycleAction.kt
@@ -5,6 +5,9 @@
     /** Say that the node is ready, or that it isn't. */
     public data class Ready(val isReady: Boolean, val why: String) : LifecycleAction()
 
+    /** Take no new streams, which may not end in time. */
+    public data object RefuseStreams : LifecycleAction()
+
     /** Take no new connections. */
     public data object StopAccepting : LifecycleAction()
 
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/lifecycle/LifecycleFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/lifecycle/LifecycleFilter.kt
@@ -10,8 +10,8 @@
 /**
  * Decides when a node is ready and how it stops.
  *
- * First it says that it isn't ready, then it takes no new connections, and it ends when all answers
- * are given or [grace] is nearly over.
+ * First it says that it isn't ready, then it takes no more streams, later no new connections, and it
+ * ends when all answers are given or [grace] is nearly over.
  *
  * @property grace the time from the order to stop until the process is killed.
  */
@@ -69,9 +69,11 @@
                     LifecycleAction.Exit(openCalls),
                 ),
             )
-            passed >= ACCEPTING && state.isAccepting ->
+            passed >= grace - LAST_CALLS && state.isAccepting ->
                 state.copy(isAccepting = false).withActions(LifecycleAction.StopAccepting)
-            passed >= ACCEPTING + LAST_REQUESTS && openCalls == 0 -> Step(
+            passed >= STREAMS && state.takesStreams ->
+                state.copy(takesStreams = false).withActions(LifecycleAction.RefuseStreams)
+            passed >= BALANCER && openCalls == 0 -> Step(
                 LifecycleState.Stopped,
                 persistentListOf(LifecycleAction.Exit(openCalls)),
             )
@@ -83,11 +85,14 @@
         Step(this, persistentListOf(action))
 
     private companion object {
-        /** New connections still come until the balancer has missed two answers. */
-        val ACCEPTING = 3.seconds
+        /** Streams that begin later may not end before the process is killed. */
+        val STREAMS = 1.seconds
 
-        /** Requests on kept connections may still be on their way. */
-        val LAST_REQUESTS = 200.milliseconds
+        /** Until then the balancer has missed two answers and sends no more callers. */
+        val BALANCER = 3200.milliseconds
+
+        /** Callers still come where no other node is ready; calls need this long to end. */
+        val LAST_CALLS = 2.seconds
 
         /** What is left for closing connections before the process is killed. */
         val LAST_MOMENT = 900.milliseconds
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/lifecycle/LifecycleState.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/lifecycle/LifecycleState.kt
@@ -12,8 +12,11 @@
     public data object Serving : LifecycleState()
 
     /** It was told to stop at [since] and ends what it has. */
-    public data class Draining(val since: Duration, val isAccepting: Boolean = true) :
-        LifecycleState()
+    public data class Draining(
+        val since: Duration,
+        val takesStreams: Boolean = true,
+        val isAccepting: Boolean = true,
+    ) : LifecycleState()
 
     /** It has ended. */
     public data object Stopped : LifecycleState()
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/GatewayNode.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/GatewayNode.kt
@@ -290,6 +290,7 @@
         log.lifecycle(action)
         when (action) {
             is LifecycleAction.Ready -> isReady = action.isReady
+            LifecycleAction.RefuseStreams -> entryRing.put(EntryEvent.RefuseStreams)
             LifecycleAction.StopAccepting -> front.stopAccepting()
             is LifecycleAction.BreakOff -> exchanges.abortAll("the node stops")
             is LifecycleAction.Exit -> stopped.countDown()
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/entry/EntryFilterTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/entry/EntryFilterTest.kt
@@ -22,6 +22,7 @@
     val configurations: List<ServingConfiguration>,
     val head: CallHead,
     val body: Body = Body.EMPTY,
+    val isStopping: Boolean = false,
     val outcome: String,
 ) : WithDataTestName {
     override fun dataTestName(): String = name
@@ -35,6 +36,7 @@
     version = version,
     routes = persistentListOf(
         Samples.route(RepeatRule.Once).copy(name = "short", isPublic = isPublic),
+        Samples.route(RepeatRule.Stream(true)).copy(name = "stream", prefix = "/a/s/"),
         Samples.route(RepeatRule.Once).copy(name = "long", prefix = "/a/b/", isPublic = isPublic),
     ),
     services = persistentMapOf(Samples.desk to Samples.service()),
@@ -92,6 +94,20 @@
                 head(key = null),
                 outcome = "short null 1",
             ),
+            EntryCase(
+                "a stream at a node that stops",
+                listOf(configuration()),
+                head("/a/s/1"),
+                isStopping = true,
+                outcome = "NotRun",
+            ),
+            EntryCase(
+                "a call at a node that stops",
+                listOf(configuration()),
+                head(),
+                isStopping = true,
+                outcome = "short club 1",
+            ),
             EntryCase(
                 "a body over the limit",
                 listOf(configuration()),
@@ -113,7 +129,8 @@
             ),
         ) { case ->
             val filter = EntryFilter()
-            val state = case.configurations.fold(EntryState()) { state, configuration ->
+            val first = EntryState(isStopping = case.isStopping)
+            val state = case.configurations.fold(first) { state, configuration ->
                 filter.step(state, EntryEvent.Configured(configuration), Duration.ZERO).state
             }
             val event = EntryEvent.Received(CallKey(1), case.head, case.body, Duration.ZERO)
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/lifecycle/LifecycleFilterTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/lifecycle/LifecycleFilterTest.kt
@@ -20,7 +20,7 @@
 class LifecycleFilterTest :
     FunSpec({
         val draining = LifecycleState.Draining(since = 10.seconds)
-        val closed = draining.copy(isAccepting = false)
+        val closed = draining.copy(takesStreams = false, isAccepting = false)
         withData(
             LifecycleCase(
                 "a node without upstreams is not ready",
@@ -47,17 +47,31 @@
                 actions = emptyList(),
             ),
             LifecycleCase(
-                "it still takes connections until the balancer knows",
+                "it still takes all for a moment",
                 draining,
                 LifecycleEvent.Tick(openCalls = 0),
-                at = 12.9.seconds,
+                at = 10.9.seconds,
                 actions = emptyList(),
             ),
             LifecycleCase(
-                "then it takes no more",
+                "then it takes no more streams",
                 draining,
                 LifecycleEvent.Tick(openCalls = 2),
+                at = 11.seconds,
+                actions = listOf("RefuseStreams"),
+            ),
+            LifecycleCase(
+                "it does not end before the balancer knows",
+                draining.copy(takesStreams = false),
+                LifecycleEvent.Tick(openCalls = 0),
                 at = 13.seconds,
+                actions = emptyList(),
+            ),
+            LifecycleCase(
+                "and at last takes no more connections",
+                draining.copy(takesStreams = false),
+                LifecycleEvent.Tick(openCalls = 2),
+                at = 16.seconds,
                 actions = listOf("StopAccepting"),
             ),
             LifecycleCase(
