--- a/bench/src/main/kotlin/org/bilberrycart/bench/control/CommitMeasure.kt
+++ b/bench/src/main/kotlin/org/bilberrycart/bench/control/CommitMeasure.kt
@@ -10,19 +10,19 @@
 import org.bilberrycart.pipeline.Clock
 import org.bilberrycart.pipeline.Duty
 import org.bilberrycart.pipeline.Ring
-import org.bilberrycart.platform.Condition
-import org.bilberrycart.platform.HttpTableClient
-import org.bilberrycart.platform.PlatformEvent
-import org.bilberrycart.platform.PlatformFilter
-import org.bilberrycart.platform.PlatformLimits
-import org.bilberrycart.platform.PlatformSink
-import org.bilberrycart.platform.PlatformState
-import org.bilberrycart.platform.RowKey
-import org.bilberrycart.platform.RowWrite
-import org.bilberrycart.platform.StoreContext
-import org.bilberrycart.platform.StoreResult
-import org.bilberrycart.platform.WriteGroup
 import org.bilberrycart.standins.platform.PlatformStandin
+import org.bilberrycart.store.Condition
+import org.bilberrycart.store.HttpTableClient
+import org.bilberrycart.store.PlatformEvent
+import org.bilberrycart.store.PlatformFilter
+import org.bilberrycart.store.PlatformLimits
+import org.bilberrycart.store.PlatformSink
+import org.bilberrycart.store.PlatformState
+import org.bilberrycart.store.RowKey
+import org.bilberrycart.store.RowWrite
+import org.bilberrycart.store.StoreContext
+import org.bilberrycart.store.StoreResult
+import org.bilberrycart.store.WriteGroup
 import org.bilberrycart.timer.Ticker
 
 /**
--- a/bench/src/main/kotlin/org/bilberrycart/bench/control/ConfigurationMeasure.kt
+++ b/bench/src/main/kotlin/org/bilberrycart/bench/control/ConfigurationMeasure.kt
@@ -9,9 +9,9 @@
 import org.bilberrycart.configuration.ConfigurationDocument
 import org.bilberrycart.configuration.ConfigurationPublisher
 import org.bilberrycart.pipeline.Clock
-import org.bilberrycart.platform.HttpTableClient
 import org.bilberrycart.standins.platform.Faults
 import org.bilberrycart.standins.platform.PlatformStandin
+import org.bilberrycart.store.HttpTableClient
 
 /**
  * The time from "accepted" to "in force on all nodes", over many changes.
--- a/bench/src/main/kotlin/org/bilberrycart/bench/control/ControlFleet.kt
+++ b/bench/src/main/kotlin/org/bilberrycart/bench/control/ControlFleet.kt
@@ -13,8 +13,8 @@
 import org.bilberrycart.node.ControlDuties
 import org.bilberrycart.node.ControlOutput
 import org.bilberrycart.pipeline.Clock
-import org.bilberrycart.platform.HttpTableClient
-import org.bilberrycart.platform.PlatformLimits
+import org.bilberrycart.store.HttpTableClient
+import org.bilberrycart.store.PlatformLimits
 
 /**
  * The control duties of several nodes in one process, over one platform stand-in.
--- a/bench/src/main/kotlin/org/bilberrycart/bench/control/OutageMeasure.kt
+++ b/bench/src/main/kotlin/org/bilberrycart/bench/control/OutageMeasure.kt
@@ -29,10 +29,10 @@
 import org.bilberrycart.pipeline.Clock
 import org.bilberrycart.pipeline.Duty
 import org.bilberrycart.pipeline.Ring
-import org.bilberrycart.platform.HttpTableClient
-import org.bilberrycart.platform.PlatformLimits
 import org.bilberrycart.standins.platform.Faults
 import org.bilberrycart.standins.platform.PlatformStandin
+import org.bilberrycart.store.HttpTableClient
+import org.bilberrycart.store.PlatformLimits
 import org.bilberrycart.timer.Ticker
 
 /**
--- a/bench/src/main/kotlin/org/bilberrycart/bench/pipeline/PipelineRun.kt
+++ b/bench/src/main/kotlin/org/bilberrycart/bench/pipeline/PipelineRun.kt
@@ -31,10 +31,10 @@
 import org.bilberrycart.pipeline.Clock
 import org.bilberrycart.pipeline.Ring
 import org.bilberrycart.pipeline.Sink
-import org.bilberrycart.platform.PlatformEvent
-import org.bilberrycart.platform.StoreContext
-import org.bilberrycart.platform.StoreFailure
-import org.bilberrycart.platform.StoreResult
+import org.bilberrycart.store.PlatformEvent
+import org.bilberrycart.store.StoreContext
+import org.bilberrycart.store.StoreFailure
+import org.bilberrycart.store.StoreResult
 
 /**
  * One randomised run of all decisions of a node, under a test clock and with fake engines.
--- a/daemon/src/main/kotlin/org/bilberrycart/daemon/CallSettleCommand.kt
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/CallSettleCommand.kt
@@ -18,7 +18,7 @@
 import org.bilberrycart.idempotency.StoredRecord
 import org.bilberrycart.idempotency.WriteResult
 import org.bilberrycart.pipeline.Clock
-import org.bilberrycart.platform.HttpTableClient
+import org.bilberrycart.store.HttpTableClient
 
 /**
  * Settles a call whose outcome is unknown, after the operator has looked in the service's books.
--- a/daemon/src/main/kotlin/org/bilberrycart/daemon/CallShowCommand.kt
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/CallShowCommand.kt
@@ -7,7 +7,7 @@
 import kotlinx.serialization.json.Json
 import org.bilberrycart.idempotency.CallSettler
 import org.bilberrycart.idempotency.ReadResult
-import org.bilberrycart.platform.HttpTableClient
+import org.bilberrycart.store.HttpTableClient
 
 /** Shows the record of a call. */
 class CallShowCommand : CliktCommand(name = "show") {
--- a/daemon/src/main/kotlin/org/bilberrycart/daemon/ConfigApplyCommand.kt
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/ConfigApplyCommand.kt
@@ -19,11 +19,11 @@
 import org.bilberrycart.configuration.ConfigurationDocument
 import org.bilberrycart.configuration.ConfigurationPublisher
 import org.bilberrycart.pipeline.Clock
-import org.bilberrycart.platform.HttpTableClient
-import org.bilberrycart.platform.VmListClient
-import org.bilberrycart.platform.VmListReply
 import org.bilberrycart.settings.SettingsFolder
 import org.bilberrycart.settings.SettingsResult
+import org.bilberrycart.store.HttpTableClient
+import org.bilberrycart.store.VmListClient
+import org.bilberrycart.store.VmListReply
 
 /** Applies a settings folder on top of a known version. */
 class ConfigApplyCommand : CliktCommand(name = "apply") {
--- a/daemon/src/main/kotlin/org/bilberrycart/daemon/ConfigHistoryCommand.kt
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/ConfigHistoryCommand.kt
@@ -8,7 +8,7 @@
 import com.github.ajalt.clikt.parameters.options.required
 import com.github.ajalt.clikt.parameters.types.long
 import org.bilberrycart.configuration.ConfigurationPublisher
-import org.bilberrycart.platform.HttpTableClient
+import org.bilberrycart.store.HttpTableClient
 
 /** Lists accepted configurations, the newest first. */
 class ConfigHistoryCommand : CliktCommand(name = "history") {
--- a/daemon/src/main/kotlin/org/bilberrycart/daemon/FrontMain.kt
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/FrontMain.kt
@@ -8,6 +8,7 @@
 import org.bilberrycart.gateway.node.GatewaySettings
 import org.bilberrycart.gateway.node.SettingsFile
 import org.bilberrycart.gateway.node.SettingsResult
+import org.bilberrycart.gateway.node.SettingsWatch
 import org.bilberrycart.platform.PlatformProtocol
 import org.bilberrycart.platform.PlatformRows
 import org.bilberrycart.platform.PlatformStore
@@ -23,12 +24,13 @@
 
 /** Starts a node that drains when the process is told to end; returns its settings. */
 internal fun startNode(): GatewaySettings {
-    val path = System.getenv(SETTINGS_VARIABLE) ?: fail("$SETTINGS_VARIABLE is not set")
-    val settings = when (val result = SettingsFile.read(Path.of(path))) {
+    val path = Path.of(System.getenv(SETTINGS_VARIABLE) ?: fail("$SETTINGS_VARIABLE is not set"))
+    val settings = when (val result = SettingsFile.read(path)) {
         is SettingsResult.Unusable -> fail(result.reason)
         is SettingsResult.Read -> result.settings
     }
-    val store = PlatformStore(HttpClients.start("store", STORE_IDLE), settings.store)
+    val watch = SettingsWatch(path, settings).also { it.start() }
+    val store = PlatformStore(HttpClients.start("store", STORE_IDLE)) { watch.current.store }
     val node = GatewayNode(settings, PlatformProtocol(), store, PlatformRows())
     Runtime.getRuntime().addShutdownHook(Thread(node::stop))
     node.start()
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/entry/EntryEvent.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/entry/EntryEvent.kt
@@ -16,8 +16,8 @@
         val arrivedAt: Duration,
     ) : EntryEvent()
 
-    /** The process has too little time left for a stream. */
-    public data object RefuseStreams : EntryEvent()
+    /** From now on only [intake] is taken. */
+    public data class Limit(val intake: Intake) : EntryEvent()
 
     /** A configuration was read from the store or came from a peer. */
     public data class Configured(val configuration: ServingConfiguration) : EntryEvent()
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/entry/EntryFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/entry/EntryFilter.kt
@@ -4,7 +4,6 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import org.bilberrycart.gateway.model.Refusal
-import org.bilberrycart.gateway.model.RepeatRule
 import org.bilberrycart.gateway.model.RouteRule
 import org.bilberrycart.gateway.model.RoutedCall
 import org.bilberrycart.gateway.model.ServiceRule
@@ -26,7 +25,7 @@
         now: Duration,
     ): Step<EntryState, EntryAction> = when (event) {
         is EntryEvent.Configured -> configured(state, event.configuration)
-        EntryEvent.RefuseStreams -> Step(state.copy(isStopping = true))
+        is EntryEvent.Limit -> Step(state.copy(intake = event.intake))
         is EntryEvent.Received -> received(state, event)
     }
 
@@ -54,7 +53,7 @@
             needsKey && organisation == null -> refuse(state, event, Refusal.UnknownKey)
             event.body.size > configuration.limits.bodyBytes ->
                 refuse(state, event, Refusal.TooLarge)
-            state.isStopping && route.repeat is RepeatRule.Stream ->
+            !state.intake.takes(route.repeat) ->
                 refuse(state, event, Refusal.NotRun("the node stops", STOPPING_WAIT))
             else -> forward(state, configuration, event, route, organisation)
         }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/lifecycle/LifecycleAction.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/lifecycle/LifecycleAction.kt
@@ -8,7 +8,7 @@
     /** Take no new streams, which may not end in time. */
     public data object RefuseStreams : LifecycleAction()
 
-    /** Take no new connections. */
+    /** Take no new connections, and nothing more on open ones. */
     public data object StopAccepting : LifecycleAction()
 
     /** Break off what is still open. */
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/metrics/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/metrics/GatewayMetrics.kt
@@ -37,6 +37,11 @@
             BOUNDS,
         ).labelNames("organisation").register(registry)
 
+    private val resumes = Histogram.builder().name("bilberrycart_gateway_resume_seconds")
+        .help("Pause of a stream from the last event of a lost run to the next event.")
+        .classicOnly().classicExponentialUpperBounds(FIRST_BOUND, BOUND_RATIO, BOUNDS)
+        .register(registry)
+
     init {
         GaugeWithCallback.builder().name("bilberrycart_gateway_ring_held")
             .help("Items in each ring.").labelNames("ring")
@@ -63,6 +68,10 @@
         byOrganisation.labelValues(organisation.orEmpty())
             .observe(elapsed.toDouble(DurationUnit.SECONDS))
 
+    /** Counts a stream that went on after [pause]. */
+    public fun resumed(pause: Duration): Unit =
+        resumes.observe(pause.toDouble(DurationUnit.SECONDS))
+
     /** Counts a sending to [service]. */
     public fun sent(service: String, isRepeat: Boolean): Unit =
         attempts.labelValues(service, if (isRepeat) "repeat" else "first").inc()
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DecisionLog.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DecisionLog.kt
@@ -63,6 +63,14 @@
         )
         is PlacementAction.Abort -> ended(action.call, "broken_off", action.why, now)
         is PlacementAction.Forget -> ended(action.call, "ended", action.why, now)
+        is PlacementAction.Resumed -> log.info(
+            "event=stream_resumed request={} call={} attempt={} upstream={} pause_ms={}",
+            action.call.call.head.requestId,
+            action.call.call.key.number,
+            action.attempt.number,
+            action.attempt.upstream.value,
+            action.pause.inWholeMilliseconds,
+        )
         is PlacementAction.Probe -> log.info(
             "event=probe upstream={} silent_ms={}",
             action.upstream.id.value,
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/GatewayNode.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/GatewayNode.kt
@@ -16,6 +16,7 @@
 import org.bilberrycart.gateway.entry.EntryEvent
 import org.bilberrycart.gateway.entry.EntryFilter
 import org.bilberrycart.gateway.entry.EntryState
+import org.bilberrycart.gateway.entry.Intake
 import org.bilberrycart.gateway.http.CallerProtocol
 import org.bilberrycart.gateway.http.FrontHandler
 import org.bilberrycart.gateway.http.FrontServer
@@ -198,7 +199,7 @@
             is PlacementAction.Forget -> stopStream(action.call, isAborted = true)
             is PlacementAction.Probe ->
                 upstreams.probe(action.upstream, placementSettings.probeTimeout * 2)
-            is PlacementAction.Believe -> Unit
+            is PlacementAction.Believe, is PlacementAction.Resumed -> Unit
         }
     }
 
@@ -221,6 +222,7 @@
         is PlacementAction.Forget -> ended(action.call, action.why.replace(' ', '_'))
         is PlacementAction.Believe -> metrics.believed("upstream", action.belief)
         is PlacementAction.Probe -> metrics.believed("upstream", "probed")
+        is PlacementAction.Resumed -> metrics.resumed(action.pause)
         is PlacementAction.Cancel -> Unit
     }
 
@@ -290,8 +292,11 @@
         log.lifecycle(action)
         when (action) {
             is LifecycleAction.Ready -> isReady = action.isReady
-            LifecycleAction.RefuseStreams -> entryRing.put(EntryEvent.RefuseStreams)
-            LifecycleAction.StopAccepting -> front.stopAccepting()
+            LifecycleAction.RefuseStreams -> entryRing.put(EntryEvent.Limit(Intake.Calls))
+            LifecycleAction.StopAccepting -> {
+                entryRing.put(EntryEvent.Limit(Intake.Nothing))
+                front.stopAccepting()
+            }
             is LifecycleAction.BreakOff -> exchanges.abortAll("the node stops")
             is LifecycleAction.Exit -> stopped.countDown()
         }
--- /dev/null
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/SettingsWatch.kt
@@ -0,0 +1,79 @@
+package org.bilberrycart.gateway.node
+
+import java.nio.file.Path
+import java.util.concurrent.atomic.AtomicReference
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.collections.immutable.persistentListOf
+import org.bilberrycart.pipeline.Clock
+import org.bilberrycart.pipeline.Duty
+import org.bilberrycart.pipeline.Filter
+import org.bilberrycart.pipeline.Ring
+import org.bilberrycart.pipeline.Step
+import org.bilberrycart.timer.Ticker
+import org.slf4j.LoggerFactory
+import sun.misc.Signal
+
+/**
+ * Reads the settings file again on SIGHUP and every few seconds, since it may change unannounced.
+ *
+ * A file that can't be used is logged and leaves the settings as they are. The address of the store
+ * changes at once; all else takes effect at the next start.
+ */
+public class SettingsWatch(private val path: Path, first: GatewaySettings) {
+    private val settings = AtomicReference(first)
+    private val ring = Ring<Reason>("settings", CAPACITY)
+    private val duty = Duty("settings", ring, first, Reload(), Clock(), ::changed)
+    private val timer = Ticker(INTERVAL, listOf(Ticker.Target(ring) { Reason.TIMER }))
+
+    /** The settings as last read. */
+    public val current: GatewaySettings
+        get() = settings.get()
+
+    /** Starts to watch. */
+    public fun start() {
+        duty.start()
+        timer.start()
+        Signal.handle(Signal("HUP")) { ring.offer(Reason.SIGNAL) }
+    }
+
+    private enum class Reason { SIGNAL, TIMER }
+
+    /** A change of settings, or the reason why there is none. */
+    private sealed class Change {
+        data class Applied(val settings: GatewaySettings, val reason: Reason) : Change()
+
+        data class Refused(val why: String) : Change()
+    }
+
+    private inner class Reload : Filter<GatewaySettings, Reason, Change> {
+        override fun step(
+            state: GatewaySettings,
+            event: Reason,
+            now: Duration,
+        ): Step<GatewaySettings, Change> = when (val result = SettingsFile.read(path)) {
+            is SettingsResult.Unusable -> step(state, Change.Refused(result.reason))
+            is SettingsResult.Read -> when {
+                event == Reason.TIMER && result.settings == state -> Step(state)
+                else -> step(result.settings, Change.Applied(result.settings, event))
+            }
+        }
+
+        private fun step(state: GatewaySettings, change: Change): Step<GatewaySettings, Change> =
+            Step(state, persistentListOf(change))
+    }
+
+    private fun changed(change: Change) = when (change) {
+        is Change.Applied -> {
+            val isNew = settings.getAndSet(change.settings) != change.settings
+            log.info("event=settings_read reason={} changed={}", change.reason, isNew)
+        }
+        is Change.Refused -> log.warn("event=settings_refused why=\"{}\"", change.why)
+    }
+
+    private companion object {
+        const val CAPACITY = 16
+        val INTERVAL = 5.seconds
+        val log = LoggerFactory.getLogger(SettingsWatch::class.java)
+    }
+}
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/CallState.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/CallState.kt
@@ -1,5 +1,6 @@
 package org.bilberrycart.gateway.placement
 
+import kotlin.time.Duration
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentMapOf
@@ -17,6 +18,7 @@
  * @property tried the upstreams that it was sent to.
  * @property losses how many upstreams broke off while they had the call.
  * @property isOpen whether the caller has received the head of a stream.
+ * @property silentSince when the lost run last sent something, until another sends an event.
  * @property copy where the memory of its lost run lies.
  * @property failure a failed answer to give if no better one comes.
  */
@@ -28,6 +30,7 @@
     val tried: PersistentSet<UpstreamId> = persistentSetOf(),
     val losses: Int = 0,
     val isOpen: Boolean = false,
+    val silentSince: Duration? = null,
     val copy: MemoryCopy? = null,
     val failure: UpstreamAnswer? = null,
 ) {
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/Chooser.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/Chooser.kt
@@ -33,7 +33,7 @@
 
     /** Returns the holder of [copy] if it may get work. */
     fun holder(copy: MemoryCopy?): UpstreamView? =
-        copy?.let { state.upstreams[it.holder] }?.takeIf { it.isUsable(now) }
+        copy?.let { state.upstreams[it.holder] }?.takeIf { it.isUp(now) }
 
     private fun usable(call: RoutedCall): List<UpstreamView> = state.upstreams.values.filter {
         it.entry.service == call.service.name && it.isUsable(now)
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/Losses.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/Losses.kt
@@ -92,6 +92,7 @@
         val left = call.copy(
             attempts = call.attempts.remove(attempt.number),
             losses = call.losses + 1,
+            silentSince = (call.silentSince ?: attempt.heardAt).takeIf { call.isOpen },
             copy = copy ?: call.copy,
         )
         return again(state.counted(attempt, -1), left, now, "lost, $cause")
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementAction.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementAction.kt
@@ -1,5 +1,6 @@
 package org.bilberrycart.gateway.placement
 
+import kotlin.time.Duration
 import org.bilberrycart.gateway.model.AttemptKey
 import org.bilberrycart.gateway.model.Refusal
 import org.bilberrycart.gateway.model.UpstreamAnswer
@@ -28,6 +29,10 @@
     /** Forget a call whose caller has its answer or has gone. */
     public data class Forget(val call: CallState, val why: String) : PlacementAction()
 
+    /** Say that a stream goes on after a pause of [pause]. */
+    public data class Resumed(val call: CallState, val attempt: Attempt, val pause: Duration) :
+        PlacementAction()
+
     /** Ask an upstream for a sign of life. */
     public data class Probe(val upstream: UpstreamEntry, val silentMillis: Long) :
         PlacementAction()
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementFilter.kt
@@ -45,8 +45,17 @@
         val call = state.calls[key.call] ?: return Step(state)
         val attempt = call.attempts[key.number] ?: return Step(state)
         val moved = attempt.copy(heardAt = now, hasEvents = attempt.hasEvents || hasEvents)
-        val next = call.copy(attempts = call.attempts.put(key.number, moved), isOpen = true)
-        return Step(state.with(next).update(attempt.upstream) { it.heard(now) })
+        val since = call.silentSince.takeIf { hasEvents }
+        val next = call.copy(
+            attempts = call.attempts.put(key.number, moved),
+            isOpen = true,
+            silentSince = if (hasEvents) null else call.silentSince,
+        )
+        return Step(
+            state.with(next).update(attempt.upstream) { it.heard(now) },
+            listOfNotNull(since?.let { PlacementAction.Resumed(next, moved, now - it) })
+                .toPersistentList(),
+        )
     }
 
     private fun ended(
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/UpstreamView.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/UpstreamView.kt
@@ -33,10 +33,11 @@
     val probedAt: Duration? = null,
 ) {
     /** Whether it may get new work at [now]. */
-    public fun isUsable(now: Duration): Boolean = !entry.isLeaving &&
-        !isReplaced &&
-        probeSentAt == null &&
-        (downUntil == null || downUntil <= now)
+    public fun isUsable(now: Duration): Boolean = isUp(now) && probeSentAt == null
+
+    /** Whether it may get work that only it can do, even while a probe is under way. */
+    public fun isUp(now: Duration): Boolean =
+        !entry.isLeaving && !isReplaced && (downUntil == null || downUntil <= now)
 
     /** Returns the weight of recent failures at [now]. */
     public fun failureWeightAt(now: Duration): Double = failureWeight *
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/entry/EntryFilterTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/entry/EntryFilterTest.kt
@@ -22,7 +22,7 @@
     val configurations: List<ServingConfiguration>,
     val head: CallHead,
     val body: Body = Body.EMPTY,
-    val isStopping: Boolean = false,
+    val intake: Intake = Intake.All,
     val outcome: String,
 ) : WithDataTestName {
     override fun dataTestName(): String = name
@@ -98,16 +98,23 @@
                 "a stream at a node that stops",
                 listOf(configuration()),
                 head("/a/s/1"),
-                isStopping = true,
+                intake = Intake.Calls,
                 outcome = "NotRun",
             ),
             EntryCase(
                 "a call at a node that stops",
                 listOf(configuration()),
                 head(),
-                isStopping = true,
+                intake = Intake.Calls,
                 outcome = "short club 1",
             ),
+            EntryCase(
+                "a call at a node that is about to end",
+                listOf(configuration()),
+                head(),
+                intake = Intake.Nothing,
+                outcome = "NotRun",
+            ),
             EntryCase(
                 "a body over the limit",
                 listOf(configuration()),
@@ -129,7 +136,7 @@
             ),
         ) { case ->
             val filter = EntryFilter()
-            val first = EntryState(isStopping = case.isStopping)
+            val first = EntryState(intake = case.intake)
             val state = case.configurations.fold(first) { state, configuration ->
                 filter.step(state, EntryEvent.Configured(configuration), Duration.ZERO).state
             }
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/PlacementRun.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/PlacementRun.kt
@@ -44,6 +44,7 @@
         }
         is PlacementAction.Abort -> "abort"
         is PlacementAction.Forget -> "forget"
+        is PlacementAction.Resumed -> "resumed ${action.pause.inWholeMilliseconds}"
         is PlacementAction.Probe -> "probe ${action.upstream.id.value}"
         is PlacementAction.Believe -> action.belief
     }
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/StreamPlacementTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/StreamPlacementTest.kt
@@ -4,6 +4,7 @@
 import io.kotest.datatest.withData
 import io.kotest.engine.names.WithDataTestName
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -65,6 +66,12 @@
                     ),
                     actions = listOf("send second"),
                 ),
+                StreamCase(
+                    "and the pause is told with its next event",
+                    before = opened + PlacementEvent.Broken(attempt(), "reset"),
+                    last = PlacementEvent.StreamMoved(attempt(2)),
+                    actions = listOf("resumed 10"),
+                ),
                 StreamCase(
                     "not at all when the route forbids it",
                     isResumable = false,
@@ -94,6 +101,22 @@
             ) { check(it) }
         }
 
+        test("a copy is used even while its holder is being probed") {
+            val run = PlacementRun()
+            run.register("ax", "by")
+            val route = Samples.route(RepeatRule.Stream(true), 5, 25.seconds, 4.seconds)
+            run.step(PlacementEvent.Submit(Samples.call(route, hasBackups = true)))
+            opened.forEach(run::step)
+            val second = Samples.call(route, key = 2, hasBackups = true)
+            run.now += 230.milliseconds
+            run.step(PlacementEvent.Submit(second))
+            run.step(PlacementEvent.StreamMoved(attempt()))
+            run.now += 410.milliseconds
+            run.step(PlacementEvent.StreamMoved(attempt()))
+            run.step(PlacementEvent.Tick).map { it.substringBefore(' ') } shouldBe listOf("probe")
+            run.step(PlacementEvent.Broken(attempt(), "reset")).single() shouldContain "from r1"
+        }
+
         test("an upstream that does not answer a probe loses its streams") {
             val run = PlacementRun()
             run.register("ax", "by")
--- a/library/src/main/kotlin/org/bilberrycart/configuration/ApplyFilter.kt
+++ b/library/src/main/kotlin/org/bilberrycart/configuration/ApplyFilter.kt
@@ -4,8 +4,8 @@
 import org.bilberrycart.pipeline.Filter
 import org.bilberrycart.pipeline.Step
 import org.bilberrycart.pipeline.withActions
-import org.bilberrycart.platform.Row
-import org.bilberrycart.platform.StoreResult
+import org.bilberrycart.store.Row
+import org.bilberrycart.store.StoreResult
 
 /** What applying a configuration reacts to. */
 public sealed class ApplyEvent {
--- a/library/src/main/kotlin/org/bilberrycart/configuration/ConfigurationContext.kt
+++ b/library/src/main/kotlin/org/bilberrycart/configuration/ConfigurationContext.kt
@@ -1,6 +1,6 @@
 package org.bilberrycart.configuration
 
-import org.bilberrycart.platform.StoreContext
+import org.bilberrycart.store.StoreContext
 
 /** Which store call of the configuration duty a result belongs to. */
 public sealed class ConfigurationContext : StoreContext {
--- a/library/src/main/kotlin/org/bilberrycart/configuration/ConfigurationPublisher.kt
+++ b/library/src/main/kotlin/org/bilberrycart/configuration/ConfigurationPublisher.kt
@@ -4,9 +4,9 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import org.bilberrycart.model.VmId
-import org.bilberrycart.platform.StoreResult
-import org.bilberrycart.platform.TableClient
-import org.bilberrycart.platform.WaitingTable
+import org.bilberrycart.store.StoreResult
+import org.bilberrycart.store.TableClient
+import org.bilberrycart.store.WaitingTable
 
 /** Applies and reads configurations for an operator, who waits; not for use in a node's duties. */
 public class ConfigurationPublisher(
--- a/library/src/main/kotlin/org/bilberrycart/configuration/ConfigurationStore.kt
+++ b/library/src/main/kotlin/org/bilberrycart/configuration/ConfigurationStore.kt
@@ -7,13 +7,13 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
 import org.bilberrycart.model.VmId
-import org.bilberrycart.platform.Condition
-import org.bilberrycart.platform.PlatformEvent
-import org.bilberrycart.platform.Row
-import org.bilberrycart.platform.RowKey
-import org.bilberrycart.platform.RowWrite
-import org.bilberrycart.platform.StoreResult
-import org.bilberrycart.platform.WriteGroup
+import org.bilberrycart.store.Condition
+import org.bilberrycart.store.PlatformEvent
+import org.bilberrycart.store.Row
+import org.bilberrycart.store.RowKey
+import org.bilberrycart.store.RowWrite
+import org.bilberrycart.store.StoreResult
+import org.bilberrycart.store.WriteGroup
 
 /** The rows in which the platform keeps the configuration, and their JSON form. */
 public object ConfigurationStore {
--- a/library/src/main/kotlin/org/bilberrycart/idempotency/CallRecordCodec.kt
+++ b/library/src/main/kotlin/org/bilberrycart/idempotency/CallRecordCodec.kt
@@ -3,8 +3,8 @@
 import java.security.MessageDigest
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
-import org.bilberrycart.platform.Row
-import org.bilberrycart.platform.RowKey
+import org.bilberrycart.store.Row
+import org.bilberrycart.store.RowKey
 
 /** The form of call records in the platform's table. */
 public object CallRecordCodec {
--- a/library/src/main/kotlin/org/bilberrycart/idempotency/CallSettler.kt
+++ b/library/src/main/kotlin/org/bilberrycart/idempotency/CallSettler.kt
@@ -1,11 +1,11 @@
 package org.bilberrycart.idempotency
 
-import org.bilberrycart.platform.Condition
-import org.bilberrycart.platform.RowWrite
-import org.bilberrycart.platform.StoreResult
-import org.bilberrycart.platform.TableClient
-import org.bilberrycart.platform.WaitingTable
-import org.bilberrycart.platform.WriteGroup
+import org.bilberrycart.store.Condition
+import org.bilberrycart.store.RowWrite
+import org.bilberrycart.store.StoreResult
+import org.bilberrycart.store.TableClient
+import org.bilberrycart.store.WaitingTable
+import org.bilberrycart.store.WriteGroup
 
 /** Reads and settles call records for an operator, who waits; not for use in a node's duties. */
 public class CallSettler(table: TableClient) {
--- a/library/src/main/kotlin/org/bilberrycart/idempotency/IdempotencyContext.kt
+++ b/library/src/main/kotlin/org/bilberrycart/idempotency/IdempotencyContext.kt
@@ -1,7 +1,7 @@
 package org.bilberrycart.idempotency
 
 import org.bilberrycart.model.RequestId
-import org.bilberrycart.platform.StoreContext
+import org.bilberrycart.store.StoreContext
 
 /** What the idempotency duty gets back with the result of its store call [operation]. */
 public data class IdempotencyContext(
--- a/library/src/main/kotlin/org/bilberrycart/idempotency/IdempotencyState.kt
+++ b/library/src/main/kotlin/org/bilberrycart/idempotency/IdempotencyState.kt
@@ -5,7 +5,7 @@
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
 import org.bilberrycart.model.RequestId
-import org.bilberrycart.platform.RetryBudget
+import org.bilberrycart.store.RetryBudget
 
 /**
  * The state of the idempotency duty.
--- a/library/src/main/kotlin/org/bilberrycart/idempotency/IdempotencyStore.kt
+++ b/library/src/main/kotlin/org/bilberrycart/idempotency/IdempotencyStore.kt
@@ -2,11 +2,11 @@
 
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.hours
-import org.bilberrycart.platform.Condition
-import org.bilberrycart.platform.PlatformEvent
-import org.bilberrycart.platform.RowWrite
-import org.bilberrycart.platform.StoreResult
-import org.bilberrycart.platform.WriteGroup
+import org.bilberrycart.store.Condition
+import org.bilberrycart.store.PlatformEvent
+import org.bilberrycart.store.RowWrite
+import org.bilberrycart.store.StoreResult
+import org.bilberrycart.store.WriteGroup
 
 /**
  * Joins the idempotency duty to the platform duty.
--- a/library/src/main/kotlin/org/bilberrycart/lease/LeaseStore.kt
+++ b/library/src/main/kotlin/org/bilberrycart/lease/LeaseStore.kt
@@ -3,14 +3,14 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.serialization.json.Json
-import org.bilberrycart.platform.Condition
-import org.bilberrycart.platform.PlatformEvent
-import org.bilberrycart.platform.Row
-import org.bilberrycart.platform.RowKey
-import org.bilberrycart.platform.RowWrite
-import org.bilberrycart.platform.StoreContext
-import org.bilberrycart.platform.StoreResult
-import org.bilberrycart.platform.WriteGroup
+import org.bilberrycart.store.Condition
+import org.bilberrycart.store.PlatformEvent
+import org.bilberrycart.store.Row
+import org.bilberrycart.store.RowKey
+import org.bilberrycart.store.RowWrite
+import org.bilberrycart.store.StoreContext
+import org.bilberrycart.store.StoreResult
+import org.bilberrycart.store.WriteGroup
 
 /** Which store call of the lease duty a result belongs to. */
 public data class LeaseContext(val operation: Long) : StoreContext
--- a/library/src/main/kotlin/org/bilberrycart/node/ControlDuties.kt
+++ b/library/src/main/kotlin/org/bilberrycart/node/ControlDuties.kt
@@ -27,15 +27,15 @@
 import org.bilberrycart.orders.OrdersStore
 import org.bilberrycart.pipeline.Clock
 import org.bilberrycart.pipeline.Duty
-import org.bilberrycart.platform.PlatformEvent
-import org.bilberrycart.platform.PlatformFilter
-import org.bilberrycart.platform.PlatformLimits
-import org.bilberrycart.platform.PlatformSink
-import org.bilberrycart.platform.PlatformState
-import org.bilberrycart.platform.StoreContext
-import org.bilberrycart.platform.StoreResult
-import org.bilberrycart.platform.TableClient
 import org.bilberrycart.replication.VerdictStore
+import org.bilberrycart.store.PlatformEvent
+import org.bilberrycart.store.PlatformFilter
+import org.bilberrycart.store.PlatformLimits
+import org.bilberrycart.store.PlatformSink
+import org.bilberrycart.store.PlatformState
+import org.bilberrycart.store.StoreContext
+import org.bilberrycart.store.StoreResult
+import org.bilberrycart.store.TableClient
 import org.bilberrycart.timer.Ticker
 
 /**
--- a/library/src/main/kotlin/org/bilberrycart/node/ControlOutput.kt
+++ b/library/src/main/kotlin/org/bilberrycart/node/ControlOutput.kt
@@ -3,8 +3,8 @@
 import org.bilberrycart.configuration.ConfigurationDocument
 import org.bilberrycart.idempotency.IdempotencyEvent
 import org.bilberrycart.model.VmId
-import org.bilberrycart.platform.StoreResult
 import org.bilberrycart.replication.VerdictStore
+import org.bilberrycart.store.StoreResult
 
 /** Where the control duties put what concerns the rest of the node; none of it may wait long. */
 public interface ControlOutput {
--- a/library/src/main/kotlin/org/bilberrycart/node/ControlRings.kt
+++ b/library/src/main/kotlin/org/bilberrycart/node/ControlRings.kt
@@ -5,7 +5,7 @@
 import org.bilberrycart.orders.OrdersEvent
 import org.bilberrycart.pipeline.Ring
 import org.bilberrycart.pipeline.RingStats
-import org.bilberrycart.platform.PlatformEvent
+import org.bilberrycart.store.PlatformEvent
 
 /**
  * The rings of the control duties.
--- a/library/src/main/kotlin/org/bilberrycart/node/ForwardSinks.kt
+++ b/library/src/main/kotlin/org/bilberrycart/node/ForwardSinks.kt
@@ -21,11 +21,11 @@
 import org.bilberrycart.news.OrganisationUse
 import org.bilberrycart.pipeline.Clock
 import org.bilberrycart.pipeline.Sink
-import org.bilberrycart.platform.PlatformEvent
 import org.bilberrycart.release.ReleaseEvent
 import org.bilberrycart.routing.RoutingAction
 import org.bilberrycart.routing.RoutingEvent
 import org.bilberrycart.settings.FleetSettings
+import org.bilberrycart.store.PlatformEvent
 import org.bilberrycart.suspect.SuspectAction
 import org.bilberrycart.suspect.SuspectEvent
 
--- a/library/src/main/kotlin/org/bilberrycart/node/NetworkPorts.kt
+++ b/library/src/main/kotlin/org/bilberrycart/node/NetworkPorts.kt
@@ -13,11 +13,11 @@
 import org.bilberrycart.pipeline.Clock
 import org.bilberrycart.pipeline.Ring
 import org.bilberrycart.pipeline.Sink
-import org.bilberrycart.platform.PlatformEvent
-import org.bilberrycart.platform.StoreContext
-import org.bilberrycart.platform.StoreFailure
-import org.bilberrycart.platform.StoreResult
 import org.bilberrycart.settings.NodeSettings
+import org.bilberrycart.store.PlatformEvent
+import org.bilberrycart.store.StoreContext
+import org.bilberrycart.store.StoreFailure
+import org.bilberrycart.store.StoreResult
 
 /**
  * The connections of one node.
--- a/library/src/main/kotlin/org/bilberrycart/node/NodeControl.kt
+++ b/library/src/main/kotlin/org/bilberrycart/node/NodeControl.kt
@@ -8,9 +8,6 @@
 import org.bilberrycart.model.VmId
 import org.bilberrycart.orders.OrdersEvent
 import org.bilberrycart.pipeline.Clock
-import org.bilberrycart.platform.HttpTableClient
-import org.bilberrycart.platform.PlatformEvent
-import org.bilberrycart.platform.StoreResult
 import org.bilberrycart.replication.VerdictStore
 import org.bilberrycart.settings.Endpoint
 import org.bilberrycart.settings.FleetSettings
@@ -18,6 +15,9 @@
 import org.bilberrycart.settings.SettingsFile
 import org.bilberrycart.settings.SettingsReader
 import org.bilberrycart.settings.SettingsResult
+import org.bilberrycart.store.HttpTableClient
+import org.bilberrycart.store.PlatformEvent
+import org.bilberrycart.store.StoreResult
 import org.slf4j.LoggerFactory
 
 /** The part of a node that keeps to the platform: store calls, configuration, lease and orders. */
--- a/library/src/main/kotlin/org/bilberrycart/node/PeerSinks.kt
+++ b/library/src/main/kotlin/org/bilberrycart/node/PeerSinks.kt
@@ -23,7 +23,6 @@
 import org.bilberrycart.peer.PeerMessage
 import org.bilberrycart.pipeline.Clock
 import org.bilberrycart.pipeline.Sink
-import org.bilberrycart.platform.PlatformEvent
 import org.bilberrycart.release.ReleaseEvent
 import org.bilberrycart.replication.ReplicationAction
 import org.bilberrycart.replication.ReplicationEvent
@@ -31,6 +30,7 @@
 import org.bilberrycart.replication.VerdictStore
 import org.bilberrycart.routing.RoutingEvent
 import org.bilberrycart.settings.FleetSettings
+import org.bilberrycart.store.PlatformEvent
 import org.bilberrycart.suspect.SuspectEvent
 import org.bilberrycart.takeover.TakeoverAction
 import org.bilberrycart.takeover.TakeoverEvent
--- a/library/src/main/kotlin/org/bilberrycart/node/Pipeline.kt
+++ b/library/src/main/kotlin/org/bilberrycart/node/Pipeline.kt
@@ -22,8 +22,6 @@
 import org.bilberrycart.pipeline.Clock
 import org.bilberrycart.pipeline.Duty
 import org.bilberrycart.pipeline.RingStats
-import org.bilberrycart.platform.StoreContext
-import org.bilberrycart.platform.StoreResult
 import org.bilberrycart.release.ReleaseEvent
 import org.bilberrycart.release.ReleaseSettings
 import org.bilberrycart.replication.ReplicationEvent
@@ -32,6 +30,8 @@
 import org.bilberrycart.routing.RoutingState
 import org.bilberrycart.settings.FleetSettings
 import org.bilberrycart.settings.Settings
+import org.bilberrycart.store.StoreContext
+import org.bilberrycart.store.StoreResult
 import org.bilberrycart.suspect.SuspectEvent
 import org.bilberrycart.takeover.TakeoverEvent
 import org.bilberrycart.timer.Ticker
--- a/library/src/main/kotlin/org/bilberrycart/node/PipelinePorts.kt
+++ b/library/src/main/kotlin/org/bilberrycart/node/PipelinePorts.kt
@@ -7,9 +7,9 @@
 import org.bilberrycart.peer.PeerEvent
 import org.bilberrycart.pipeline.Ring
 import org.bilberrycart.pipeline.Sink
-import org.bilberrycart.platform.PlatformEvent
-import org.bilberrycart.platform.StoreContext
-import org.bilberrycart.platform.StoreResult
+import org.bilberrycart.store.PlatformEvent
+import org.bilberrycart.store.StoreContext
+import org.bilberrycart.store.StoreResult
 
 /** The input and output of a [Pipeline]: real connections in a node, small fakes in tests. */
 public interface PipelinePorts : AutoCloseable {
--- a/library/src/main/kotlin/org/bilberrycart/orders/OrdersSink.kt
+++ b/library/src/main/kotlin/org/bilberrycart/orders/OrdersSink.kt
@@ -3,7 +3,7 @@
 import org.bilberrycart.pipeline.Clock
 import org.bilberrycart.pipeline.Ring
 import org.bilberrycart.pipeline.Sink
-import org.bilberrycart.platform.PlatformEvent
+import org.bilberrycart.store.PlatformEvent
 
 /**
  * Carries out the actions of the orders duty.
--- a/library/src/main/kotlin/org/bilberrycart/orders/OrdersState.kt
+++ b/library/src/main/kotlin/org/bilberrycart/orders/OrdersState.kt
@@ -7,8 +7,8 @@
 import org.bilberrycart.model.ServiceId
 import org.bilberrycart.model.Upstream
 import org.bilberrycart.model.UpstreamId
-import org.bilberrycart.platform.TokenBucket
 import org.bilberrycart.settings.MaintenancePlan
+import org.bilberrycart.store.TokenBucket
 
 /**
  * The state of the orders duty.
--- a/library/src/main/kotlin/org/bilberrycart/replication/VerdictStore.kt
+++ b/library/src/main/kotlin/org/bilberrycart/replication/VerdictStore.kt
@@ -4,13 +4,13 @@
 import kotlin.time.Duration.Companion.hours
 import kotlin.time.Duration.Companion.milliseconds
 import kotlinx.serialization.json.Json
-import org.bilberrycart.platform.Condition
-import org.bilberrycart.platform.PlatformEvent
-import org.bilberrycart.platform.RowKey
-import org.bilberrycart.platform.RowWrite
-import org.bilberrycart.platform.StoreContext
-import org.bilberrycart.platform.StoreResult
-import org.bilberrycart.platform.WriteGroup
+import org.bilberrycart.store.Condition
+import org.bilberrycart.store.PlatformEvent
+import org.bilberrycart.store.RowKey
+import org.bilberrycart.store.RowWrite
+import org.bilberrycart.store.StoreContext
+import org.bilberrycart.store.StoreResult
+import org.bilberrycart.store.WriteGroup
 
 /**
  * Joins the replication shards to the platform duty: the table keeps the first verdict for a key.
--- a/library/src/main/kotlin/org/bilberrycart/platform/CircuitBreaker.kt
+++ b/library/src/main/kotlin/org/bilberrycart/store/CircuitBreaker.kt
@@ -1,4 +1,4 @@
-package org.bilberrycart.platform
+package org.bilberrycart.store
 
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
--- a/library/src/main/kotlin/org/bilberrycart/platform/Condition.kt
+++ b/library/src/main/kotlin/org/bilberrycart/store/Condition.kt
@@ -1,4 +1,4 @@
-package org.bilberrycart.platform
+package org.bilberrycart.store
 
 /** What must hold of a row for a write to be applied. */
 public sealed class Condition {
--- a/library/src/main/kotlin/org/bilberrycart/platform/HttpTableClient.kt
+++ b/library/src/main/kotlin/org/bilberrycart/store/HttpTableClient.kt
@@ -1,4 +1,4 @@
-package org.bilberrycart.platform
+package org.bilberrycart.store
 
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.TimeoutException
--- a/library/src/main/kotlin/org/bilberrycart/platform/ListedVm.kt
+++ b/library/src/main/kotlin/org/bilberrycart/store/ListedVm.kt
@@ -1,4 +1,4 @@
-package org.bilberrycart.platform
+package org.bilberrycart.store
 
 /**
  * A VM or an upstream as the platform lists it; the list lags.
--- a/library/src/main/kotlin/org/bilberrycart/platform/PlatformCounters.kt
+++ b/library/src/main/kotlin/org/bilberrycart/store/PlatformCounters.kt
@@ -1,4 +1,4 @@
-package org.bilberrycart.platform
+package org.bilberrycart.store
 
 /**
  * Counters of the platform duty since its start.
--- a/library/src/main/kotlin/org/bilberrycart/platform/PlatformSink.kt
+++ b/library/src/main/kotlin/org/bilberrycart/store/PlatformSink.kt
@@ -1,4 +1,4 @@
-package org.bilberrycart.platform
+package org.bilberrycart.store
 
 import org.bilberrycart.pipeline.Ring
 import org.bilberrycart.pipeline.Sink
--- a/library/src/main/kotlin/org/bilberrycart/platform/RetryBudget.kt
+++ b/library/src/main/kotlin/org/bilberrycart/store/RetryBudget.kt
@@ -1,4 +1,4 @@
-package org.bilberrycart.platform
+package org.bilberrycart.store
 
 /**
  * Limits retries to a share of the calls, so that retries cannot multiply an overload.
--- a/library/src/main/kotlin/org/bilberrycart/platform/Row.kt
+++ b/library/src/main/kotlin/org/bilberrycart/store/Row.kt
@@ -1,4 +1,4 @@
-package org.bilberrycart.platform
+package org.bilberrycart.store
 
 /**
  * A row of the platform's table.
--- a/library/src/main/kotlin/org/bilberrycart/platform/RowKey.kt
+++ b/library/src/main/kotlin/org/bilberrycart/store/RowKey.kt
@@ -1,4 +1,4 @@
-package org.bilberrycart.platform
+package org.bilberrycart.store
 
 /**
  * The key of one row: [name] within [table].
--- a/library/src/main/kotlin/org/bilberrycart/platform/StoreContext.kt
+++ b/library/src/main/kotlin/org/bilberrycart/store/StoreContext.kt
@@ -1,4 +1,4 @@
-package org.bilberrycart.platform
+package org.bilberrycart.store
 
 /** What a user of the store wants back with the result; each user has its own typed contexts. */
 public interface StoreContext
--- a/library/src/main/kotlin/org/bilberrycart/platform/StoreFailure.kt
+++ b/library/src/main/kotlin/org/bilberrycart/store/StoreFailure.kt
@@ -1,4 +1,4 @@
-package org.bilberrycart.platform
+package org.bilberrycart.store
 
 /** Why a call to the platform brought no result. */
 public enum class StoreFailure {
--- a/library/src/main/kotlin/org/bilberrycart/platform/StoreReply.kt
+++ b/library/src/main/kotlin/org/bilberrycart/store/StoreReply.kt
@@ -1,4 +1,4 @@
-package org.bilberrycart.platform
+package org.bilberrycart.store
 
 import kotlinx.collections.immutable.PersistentList
 
--- a/library/src/main/kotlin/org/bilberrycart/platform/WaitingTable.kt
+++ b/library/src/main/kotlin/org/bilberrycart/store/WaitingTable.kt
@@ -1,4 +1,4 @@
-package org.bilberrycart.platform
+package org.bilberrycart.store
 
 import java.util.concurrent.CompletableFuture
 import kotlin.time.Duration
--- a/library/src/test/kotlin/org/bilberrycart/configuration/ApplyFilterTest.kt
+++ b/library/src/test/kotlin/org/bilberrycart/configuration/ApplyFilterTest.kt
@@ -6,9 +6,9 @@
 import io.kotest.matchers.shouldBe
 import kotlin.time.Duration
 import kotlinx.serialization.json.Json
-import org.bilberrycart.platform.Row
-import org.bilberrycart.platform.StoreFailure
-import org.bilberrycart.platform.StoreResult
+import org.bilberrycart.store.Row
+import org.bilberrycart.store.StoreFailure
+import org.bilberrycart.store.StoreResult
 
 private data class ApplyCase(
     val name: String,
--- a/library/src/test/kotlin/org/bilberrycart/platform/PlatformFilterTest.kt
+++ b/library/src/test/kotlin/org/bilberrycart/store/PlatformFilterTest.kt
@@ -1,4 +1,4 @@
-package org.bilberrycart.platform
+package org.bilberrycart.store
 
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.datatest.withData
--- a/standins/src/main/kotlin/org/bilberrycart/standins/platform/StandinState.kt
+++ b/standins/src/main/kotlin/org/bilberrycart/standins/platform/StandinState.kt
@@ -5,7 +5,7 @@
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
-import org.bilberrycart.platform.TokenBucket
+import org.bilberrycart.store.TokenBucket
 
 /**
  * All that the platform stand-in holds.
--- a/standins/src/test/kotlin/org/bilberrycart/standins/platform/PlatformStandinTest.kt
+++ b/standins/src/test/kotlin/org/bilberrycart/standins/platform/PlatformStandinTest.kt
@@ -11,15 +11,15 @@
 import java.util.concurrent.CompletableFuture
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
-import org.bilberrycart.platform.Condition
-import org.bilberrycart.platform.HttpTableClient
-import org.bilberrycart.platform.Row
-import org.bilberrycart.platform.RowKey
-import org.bilberrycart.platform.RowWrite
-import org.bilberrycart.platform.StoreFailure
-import org.bilberrycart.platform.StoreReply
-import org.bilberrycart.platform.StoreResult
-import org.bilberrycart.platform.WriteGroup
+import org.bilberrycart.store.Condition
+import org.bilberrycart.store.HttpTableClient
+import org.bilberrycart.store.Row
+import org.bilberrycart.store.RowKey
+import org.bilberrycart.store.RowWrite
+import org.bilberrycart.store.StoreFailure
+import org.bilberrycart.store.StoreReply
+import org.bilberrycart.store.StoreResult
+import org.bilberrycart.store.WriteGroup
 
 private val key = RowKey("t", "a")
 
