--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/lifecycle/LifecycleFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/lifecycle/LifecycleFilter.kt
@@ -10,7 +10,7 @@
 /**
  * Decides when a node is ready and how it stops.
  *
- * First it says that it isn't ready, then it takes no more streams, later no new connections, and it
+ * First it says that it isn't ready, then it takes no more streams, later nothing at all, and it
  * ends when all answers are given or [grace] is nearly over.
  *
  * @property grace the time from the order to stop until the process is killed.
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/peers/PeersFilterTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/peers/PeersFilterTest.kt
@@ -138,10 +138,14 @@
         }
 
         context("bytes that are no news are ignored") {
-            withData(nameFn = {
-                "${it.size} bytes"
-            }, listOf(ByteArray(0), ByteArray(9), "xyz".toByteArray())) {
-                PeerCodec.news(it) shouldBe null
-            }
+            val whole = PeerCodec.encode(PeerNews("a:1", incarnation = 7, sequence = 8))
+            val nested = ByteArray(NESTED_BYTES) { 0x7f }
+            withData(
+                nameFn = { "${it.size} bytes" },
+                listOf(ByteArray(0), ByteArray(9), whole.copyOf(whole.size - 3), nested),
+            ) { PeerCodec.news(it) shouldBe null }
         }
     })
+
+/** Enough openings of a text of indefinite length to exhaust the stack of the decoder. */
+private const val NESTED_BYTES = 60_000
