--- a/daemon/src/main/kotlin/org/bilberrycart/daemon/FrontMain.kt
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/FrontMain.kt
@@ -1,5 +1,6 @@
 package org.bilberrycart.daemon
 
+import java.io.IOException
 import java.nio.file.Path
 import kotlin.system.exitProcess
 import kotlin.time.Duration.Companion.seconds
@@ -15,6 +16,7 @@
 
 private const val SETTINGS_VARIABLE = "BILBERRYCART_SETTINGS"
 private const val BAD_SETTINGS = 78
+private const val CANNOT_START = 71
 private val STORE_IDLE = 30.seconds
 
 /** Runs one node on the users' platform, with the settings file that the environment names. */
@@ -31,13 +33,17 @@
     }
     val watch = SettingsWatch(path, settings).also { it.start() }
     val store = PlatformStore(HttpClients.start("store", STORE_IDLE)) { watch.current.store }
-    val node = GatewayNode(settings, PlatformProtocol(), store, PlatformRows())
+    val node = try {
+        GatewayNode(settings, PlatformProtocol(), store, PlatformRows()).also { it.start() }
+    } catch (e: IOException) {
+        // Threads are alive by now, so the process would not end by itself.
+        fail("can't start: $e", CANNOT_START)
+    }
     Runtime.getRuntime().addShutdownHook(Thread(node::stop))
-    node.start()
     return settings
 }
 
-private fun fail(reason: String): Nothing {
+private fun fail(reason: String, code: Int = BAD_SETTINGS): Nothing {
     System.err.println("bilberrycart: $reason")
-    exitProcess(BAD_SETTINGS)
+    exitProcess(code)
 }
