Refuse a call that breaks its upstreams; share the repeat slack by the number of nodes

A call that kills each upstream which begins it was sent again as long as its route and its caller asked. And each node took an eighth of the shared repeat slack, which 32 nodes would overdraw four times (150 repeats allowed, 600 taken).

Now the node notes, by caller, method, target and body, which upstreams broke off before the first sign of an answer; nodes tell each other; from four on such a call is refused, as not run if it hasn't. An answer clears it. The slack is divided by twice the number of nodes heard, and by 64 before any was.

What peers say is put together once in 40 ms rather than with each datagram. GatewayNode is split: what carries out the decisions of placement, relay and discovery has a file each.

--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DecisionLog.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DecisionLog.kt
@@ -71,6 +71,13 @@
             action.attempt.upstream.value,
             action.pause.inWholeMilliseconds,
         )
+        is PlacementAction.Struck -> log.info(
+            "event=broke_off_at_start request={} call={} upstream={} upstreams_with_same_content={}",
+            action.call.call.head.requestId,
+            action.call.call.key.number,
+            action.upstream.value,
+            action.strikes,
+        )
         is PlacementAction.Probe -> log.info(
             "event=probe upstream={} silent_ms={}",
             action.upstream.id.value,
--- /dev/null
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DiscoverySink.kt
@@ -0,0 +1,73 @@
+package org.bilberrycart.gateway.node
+
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.collections.immutable.toPersistentList
+import org.bilberrycart.gateway.discovery.DiscoveryAction
+import org.bilberrycart.gateway.discovery.DiscoveryEvent
+import org.bilberrycart.gateway.discovery.RowReader
+import org.bilberrycart.gateway.discovery.StoreClient
+import org.bilberrycart.gateway.discovery.StoreReply
+import org.bilberrycart.gateway.discovery.StoreTable
+import org.bilberrycart.gateway.entry.EntryEvent
+import org.bilberrycart.gateway.lifecycle.LifecycleEvent
+import org.bilberrycart.gateway.metrics.GatewayMetrics
+import org.bilberrycart.gateway.placement.PlacementEvent
+import org.eclipse.jetty.util.thread.Scheduler
+
+/** Carries out what discovery decided: calls the store and passes on what its tables now say. */
+internal class DiscoverySink(
+    private val rings: NodeRings,
+    private val store: StoreClient,
+    private val rows: RowReader,
+    private val scheduler: Scheduler,
+    private val metrics: GatewayMetrics,
+    private val log: DecisionLog,
+    private val askPeer: (DiscoveryAction.AskPeer) -> Unit,
+) : (DiscoveryAction) -> Unit {
+    override fun invoke(action: DiscoveryAction): Unit = when (action) {
+        is DiscoveryAction.Read -> later(action.delay) {
+            store.read(action.table, action.from) { replied(action.table, it) }
+        }
+        is DiscoveryAction.Follow -> later(action.delay) {
+            store.follow(action.table, action.version, FEED_WAIT) { replied(action.table, it) }
+        }
+        is DiscoveryAction.AskPeer -> askPeer(action)
+        is DiscoveryAction.Publish -> publish(action)
+        is DiscoveryAction.Store -> {
+            metrics.believed("store", if (action.isBack) "back" else "lost")
+            log.discovery(action)
+        }
+    }
+
+    private fun replied(table: StoreTable, reply: StoreReply) {
+        rings.discovery.put(DiscoveryEvent.Replied(table, reply))
+    }
+
+    private fun later(delay: Duration, call: () -> Unit) {
+        scheduler.schedule(call, delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+    }
+
+    private fun publish(action: DiscoveryAction.Publish) {
+        when (action.table) {
+            StoreTable.CONFIGURATION -> {
+                val read = action.rows.mapNotNull(rows::configuration)
+                read.forEach { rings.entry.put(EntryEvent.Configured(it)) }
+                log.published(action, unreadable = emptyList())
+            }
+            StoreTable.UPSTREAMS -> {
+                val read = action.rows.associateWith(rows::upstream)
+                rings.placement.put(
+                    PlacementEvent.Registered(read.values.filterNotNull().toPersistentList()),
+                )
+                log.published(action, read.filterValues { it == null }.keys.map { it.key })
+                rings.lifecycle.put(LifecycleEvent.UpstreamsListed)
+            }
+        }
+    }
+
+    private companion object {
+        val FEED_WAIT = 2.seconds
+    }
+}
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/PeerLinks.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/PeerLinks.kt
@@ -10,6 +10,7 @@
 import org.bilberrycart.gateway.discovery.DiscoveryState
 import org.bilberrycart.gateway.discovery.StoreTable
 import org.bilberrycart.gateway.http.StatusHandler
+import org.bilberrycart.gateway.model.CallFingerprint
 import org.bilberrycart.gateway.model.UpstreamId
 import org.bilberrycart.gateway.peers.PeerCodec
 import org.bilberrycart.gateway.peers.PeerSocket
@@ -93,19 +94,15 @@
             tables = discoveryState().feeds.entries.mapNotNull { (table, feed) ->
                 feed.version?.let { table.name to it }
             }.toMap(),
+            strikes = state.crashes.toTell().entries.associate { (content, upstreams) ->
+                content.value to upstreams.map { it.value }
+            },
         )
     }
 
     private fun carryOut(action: PeersAction): Unit = when (action) {
         is PeersAction.Tell -> socket.send(action.addresses, action.news)
-        is PeersAction.Elsewhere -> placement(
-            PlacementEvent.LoadElsewhere(
-                action.loads.mapKeys { UpstreamId(it.key) }.toPersistentMap(),
-                action.lost.entries.associate<_, UpstreamId, Duration> {
-                    UpstreamId(it.key) to it.value.milliseconds
-                }.toPersistentMap(),
-            ),
-        )
+        is PeersAction.Elsewhere -> placement(elsewhere(action))
         is PeersAction.Tables -> action.versions.forEach { (name, version) ->
             StoreTable.entries.firstOrNull { it.name == name }
                 ?.let { discovery(DiscoveryEvent.PeerKnows(it, action.address, version)) }
@@ -113,6 +110,17 @@
         is PeersAction.Believe -> log.peer(action)
     }
 
+    private fun elsewhere(action: PeersAction.Elsewhere) = PlacementEvent.LoadElsewhere(
+        loads = action.told.loads.mapKeys { UpstreamId(it.key) }.toPersistentMap(),
+        lost = action.told.lost.entries.associate<_, UpstreamId, Duration> {
+            UpstreamId(it.key) to it.value.milliseconds
+        }.toPersistentMap(),
+        strikes = action.told.strikes.entries.associate { (content, upstreams) ->
+            CallFingerprint(content) to upstreams.map(::UpstreamId).toSet()
+        }.toPersistentMap(),
+        nodes = action.peers + 1,
+    )
+
     private companion object {
         const val CAPACITY = 1024
         const val LONGEST_TABLE_BYTES = 8 * 1024 * 1024
--- /dev/null
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/PlacementSink.kt
@@ -0,0 +1,71 @@
+package org.bilberrycart.gateway.node
+
+import kotlin.time.Duration
+import org.bilberrycart.gateway.http.OpenExchanges
+import org.bilberrycart.gateway.http.UpstreamClient
+import org.bilberrycart.gateway.metrics.GatewayMetrics
+import org.bilberrycart.gateway.placement.CallState
+import org.bilberrycart.gateway.placement.PlacementAction
+import org.bilberrycart.gateway.relay.RelayEvent
+import org.bilberrycart.pipeline.Clock
+
+/** Carries out what placement decided: logs and counts it, then hands it to relay, client or caller. */
+internal class PlacementSink(
+    private val rings: NodeRings,
+    private val exchanges: OpenExchanges,
+    private val upstreams: UpstreamClient,
+    private val metrics: GatewayMetrics,
+    private val log: DecisionLog,
+    private val clock: Clock,
+    private val probeLimit: Duration,
+) : (PlacementAction) -> Unit {
+    override fun invoke(action: PlacementAction) {
+        log.placement(action, clock.now())
+        count(action)
+        when (action) {
+            is PlacementAction.Send -> rings.relay.put(RelayEvent.Begin(action.order))
+            is PlacementAction.Cancel -> upstreams.cancel(action.attempt, action.why)
+            is PlacementAction.Deliver -> {
+                exchanges.deliver(action.call.call.key, action.answer)
+                stopStream(action.call, isAborted = false)
+            }
+            is PlacementAction.Refuse -> {
+                val call = action.call.call
+                exchanges.refuse(call.key, call.head.requestId, action.refusal)
+                stopStream(action.call, isAborted = false)
+            }
+            is PlacementAction.Abort -> stopStream(action.call, isAborted = true)
+            is PlacementAction.Forget -> stopStream(action.call, isAborted = true)
+            is PlacementAction.Probe -> upstreams.probe(action.upstream, probeLimit)
+            is PlacementAction.Believe, is PlacementAction.Resumed, is PlacementAction.Struck ->
+                Unit
+        }
+    }
+
+    private fun stopStream(state: CallState, isAborted: Boolean) {
+        rings.relay.put(RelayEvent.Stop(state.call.key, isAborted))
+    }
+
+    private fun count(action: PlacementAction): Unit = when (action) {
+        is PlacementAction.Send -> metrics.sent(
+            action.order.call.service.name.value,
+            isRepeat = action.order.attempt.number > 1,
+        )
+        is PlacementAction.Deliver -> {
+            val call = action.call.call
+            metrics.answered(call.organisation, clock.now() - call.arrivedAt)
+            ended(action.call, "status_${action.answer.head.status}")
+        }
+        is PlacementAction.Refuse -> ended(action.call, "code_${action.refusal.code}")
+        is PlacementAction.Abort -> ended(action.call, "broken_off")
+        is PlacementAction.Forget -> ended(action.call, action.why.replace(' ', '_'))
+        is PlacementAction.Believe -> metrics.believed("upstream", action.belief)
+        is PlacementAction.Probe -> metrics.believed("upstream", "probed")
+        is PlacementAction.Resumed -> metrics.resumed(action.pause)
+        is PlacementAction.Struck -> metrics.believed("call", "broke_off_at_start")
+        is PlacementAction.Cancel -> Unit
+    }
+
+    private fun ended(state: CallState, outcome: String) =
+        metrics.ended(state.call.route.name, outcome, clock.now() - state.call.arrivedAt)
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/RelaySink.kt
@@ -0,0 +1,35 @@
+package org.bilberrycart.gateway.node
+
+import org.bilberrycart.gateway.http.OpenExchanges
+import org.bilberrycart.gateway.http.UpstreamClient
+import org.bilberrycart.gateway.metrics.GatewayMetrics
+import org.bilberrycart.gateway.relay.RelayAction
+import org.bilberrycart.pipeline.Clock
+
+/** Carries out what the relay decided: moves bytes between upstreams and callers. */
+internal class RelaySink(
+    private val rings: NodeRings,
+    private val exchanges: OpenExchanges,
+    private val upstreams: UpstreamClient,
+    private val metrics: GatewayMetrics,
+    private val log: DecisionLog,
+    private val clock: Clock,
+) : (RelayAction) -> Unit {
+    override fun invoke(action: RelayAction): Unit = when (action) {
+        is RelayAction.Send -> upstreams.send(action.order, action.lastEvent)
+        is RelayAction.Open -> {
+            val elapsed = clock.now() - action.call.arrivedAt
+            metrics.answered(action.call.organisation, elapsed)
+            log.opened(action, clock.now())
+            exchanges.open(action.call.key, action.head)
+        }
+        is RelayAction.Write -> exchanges.write(action.attempt.call, action.bytes) {
+            upstreams.demand(action.attempt)
+        }
+        is RelayAction.Demand -> upstreams.demand(action.attempt)
+        is RelayAction.Drop -> upstreams.cancel(action.attempt, "of no use")
+        is RelayAction.Complete -> exchanges.complete(action.key)
+        is RelayAction.Abort -> exchanges.abort(action.key, "broken off")
+        is RelayAction.Report -> Unit.also { rings.placement.put(action.event) }
+    }
+}
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeerNews.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeerNews.kt
@@ -12,6 +12,7 @@
  * @property members addresses of nodes that the sender heard lately.
  * @property loads work that the sender has at each upstream, by id.
  * @property lost how many milliseconds ago the sender lost each upstream, by id.
+ * @property strikes upstreams that broke off when they began a call, by its fingerprint.
  * @property tables the version up to which the sender knows each table.
  */
 @Serializable
@@ -23,4 +24,5 @@
     @CborLabel(label = 5) val loads: Map<String, Int> = emptyMap(),
     @CborLabel(label = 6) val lost: Map<String, Int> = emptyMap(),
     @CborLabel(label = 7) val tables: Map<String, Long> = emptyMap(),
+    @CborLabel(label = 8) val strikes: Map<Long, List<String>> = emptyMap(),
 )
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeersEvent.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeersEvent.kt
@@ -10,5 +10,6 @@
         val loads: Map<String, Int>,
         val lost: Map<String, Int>,
         val tables: Map<String, Long>,
+        val strikes: Map<Long, List<String>> = emptyMap(),
     ) : PeersEvent()
 }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeersFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeersFilter.kt
@@ -3,12 +3,13 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
-import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.collections.immutable.toPersistentMap
 import org.bilberrycart.pipeline.Filter
 import org.bilberrycart.pipeline.Step
+import org.bilberrycart.pipeline.withActions
 
 /**
  * Tells other nodes what this one does and puts together what they say.
@@ -36,9 +37,9 @@
         val heard = state.copy(
             peers = state.peers.put(news.sender, PeerView(news, now)),
             candidates = state.candidates.addAll(news.members).add(news.sender).remove(state.self),
+            lost = state.lost.putAll(news.lost.mapValues { now - it.value.milliseconds }),
         )
         val isNew = known == null
-        val next = elsewhere(heard, news.lost)
         val actions = listOfNotNull(
             PeersAction.Believe(news.sender, isAlive = true).takeIf { isNew },
             PeersAction.Tables(news.sender, news.tables)
@@ -46,7 +47,7 @@
                     known?.news?.tables != news.tables || news.sequence % TABLES_EVERY == 0L
                 },
         )
-        return Step(next.state, (actions + next.actions).toPersistentList())
+        return Step(heard, actions.toPersistentList())
     }
 
     private fun isOld(known: PeerNews?, news: PeerNews): Boolean = known != null &&
@@ -64,7 +65,7 @@
         val left = state.copy(
             peers = state.peers.filterKeys { it !in silent }.toPersistentMap(),
         )
-        val changed = elsewhere(left, emptyMap())
+        val changed = elsewhere(left, now)
         val told = tell(changed.state, event, now)
         val sought = seek(told.state, event, now)
         return Step(
@@ -83,6 +84,7 @@
     ): Step<PeersState, PeersAction> {
         val isChanged = state.told?.loads != event.loads ||
             state.told.tables != event.tables ||
+            state.told.strikes != event.strikes ||
             event.lost.isNotEmpty()
         val pause = if (isChanged) PAUSE_PER_PEER * state.peers.size else HEARTBEAT
         if (state.peers.isEmpty() || now - state.toldAt < pause) return Step(state)
@@ -114,6 +116,7 @@
             loads = event.loads,
             lost = event.lost,
             tables = event.tables,
+            strikes = event.strikes,
         )
         return Step(
             state.copy(sequence = news.sequence, told = news),
@@ -121,16 +124,20 @@
         )
     }
 
-    private fun elsewhere(
-        state: PeersState,
-        lost: Map<String, Int>,
-    ): Step<PeersState, PeersAction> {
-        val loads = state.peers.values.flatMap { it.news.loads.entries }
-            .groupingBy { it.key }.fold(0) { sum, entry -> sum + entry.value }
-        if (loads == state.elsewhere && lost.isEmpty()) return Step(state)
-        val actions: PersistentList<PeersAction> =
-            persistentListOf(PeersAction.Elsewhere(loads, lost))
-        return Step(state.copy(elsewhere = loads), actions)
+    /** Tells placement what the peers say, if that is new. */
+    private fun elsewhere(state: PeersState, now: Duration): Step<PeersState, PeersAction> {
+        if (now - state.elsewhereAt < ELSEWHERE_INTERVAL) return Step(state)
+        val news = state.peers.values.map { it.news }
+        val told = ToldElsewhere(
+            loads = news.flatMap { it.loads.entries }
+                .groupingBy { it.key }.fold(0) { sum, entry -> sum + entry.value },
+            strikes = news.flatMap { it.strikes.entries }
+                .groupingBy { it.key }.fold(emptySet()) { ids, entry -> ids + entry.value },
+        )
+        if (told == state.elsewhere && state.lost.isEmpty()) return Step(state)
+        val lost = state.lost.mapValues { (now - it.value).inWholeMilliseconds.toInt() }
+        return state.copy(elsewhere = told, elsewhereAt = now, lost = persistentMapOf())
+            .withActions(PeersAction.Elsewhere(told.copy(lost = lost), news.size))
     }
 
     private fun List<String>.shuffledBy(number: Long): List<String> {
@@ -142,6 +149,7 @@
         val SILENCE = 1500.milliseconds
         val HEARTBEAT = 400.milliseconds
         val PAUSE_PER_PEER = 7.milliseconds
+        val ELSEWHERE_INTERVAL = 40.milliseconds
         val SEEK_INTERVAL = 1.seconds
         const val MAX_MEMBERS = 16
         const val MAX_SOUGHT = 4
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeersState.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeersState.kt
@@ -11,7 +11,8 @@
  *
  * @property candidates addresses at which peers may be.
  * @property told what was last sent, without its number.
- * @property elsewhere the loads that were last reported to placement.
+ * @property elsewhere what was last reported to placement, without losses.
+ * @property lost when peers lost upstreams, as far as placement was not yet told.
  */
 public data class PeersState(
     val self: String,
@@ -22,5 +23,7 @@
     val told: PeerNews? = null,
     val toldAt: Duration = Duration.ZERO,
     val soughtAt: Duration = Duration.ZERO,
-    val elsewhere: Map<String, Int> = emptyMap(),
+    val elsewhere: ToldElsewhere = ToldElsewhere(),
+    val elsewhereAt: Duration = Duration.ZERO,
+    val lost: PersistentMap<String, Duration> = persistentMapOf(),
 )
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/Answers.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/Answers.kt
@@ -25,16 +25,20 @@
             head.didNotRun -> notRun(state, call, attempt, head.status, now)
             call.isOpen -> losses.broken(state, key, "status ${head.status} for a resume", now)
             head.isSuccess && head.isSigned ->
-                Ending.deliver(heard(state, attempt, now), call, answer, attempt.number)
+                Ending.deliver(heard(state, call, attempt, now), call, answer, attempt.number)
             head.isSuccess || !head.isSigned -> losses.broken(state, key, "unsigned answer", now)
             head.status >= FIRST_SERVER_ERROR && call.call.route.repeat.mayRunAgain ->
-                retry(heard(state, attempt, now), call, attempt, answer, now)
-            else -> Ending.deliver(heard(state, attempt, now), call, answer, attempt.number)
+                retry(heard(state, call, attempt, now), call, attempt, answer, now)
+            else -> Ending.deliver(heard(state, call, attempt, now), call, answer, attempt.number)
         }
     }
 
-    private fun heard(state: PlacementState, attempt: Attempt, now: Duration): PlacementState =
-        state.update(attempt.upstream) { it.heard(now) }
+    private fun heard(
+        state: PlacementState,
+        call: CallState,
+        attempt: Attempt,
+        now: Duration,
+    ): PlacementState = state.answered(call, now).update(attempt.upstream) { it.heard(now) }
 
     private fun misdirected(
         state: PlacementState,
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/Chooser.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/Chooser.kt
@@ -3,6 +3,7 @@
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
+import org.bilberrycart.gateway.model.CallFingerprint
 import org.bilberrycart.gateway.model.RoutedCall
 import org.bilberrycart.gateway.model.UpstreamId
 
@@ -70,3 +71,13 @@
 
 /** Returns the id of each upstream that [this] call has an attempt at. */
 internal fun CallState.upstreams(): Set<UpstreamId> = attempts.values.map { it.upstream }.toSet()
+
+/** Whether the content of [call] may begin at another upstream. */
+internal fun PlacementState.allows(call: CallState): Boolean =
+    crashes.isEmpty || crashes.allows(CallFingerprint.of(call.call))
+
+/** Returns this state after an upstream began to answer [call]. */
+internal fun PlacementState.answered(call: CallState, now: Duration): PlacementState = when {
+    crashes.isEmpty -> this
+    else -> copy(crashes = crashes.answered(CallFingerprint.of(call.call), now))
+}
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/Ending.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/Ending.kt
@@ -46,11 +46,12 @@
         call: CallState,
         why: String,
         now: Duration,
+        comeBack: Duration = COME_BACK,
     ): Step<PlacementState, PlacementAction> {
         val last = when {
             call.isOpen -> PlacementAction.Abort(call, why)
             call.failure != null -> PlacementAction.Deliver(call, call.failure)
-            call.runs == 0 -> PlacementAction.Refuse(call, Refusal.NotRun(why, COME_BACK))
+            call.runs == 0 -> PlacementAction.Refuse(call, Refusal.NotRun(why, comeBack))
             now >= call.call.endsAt -> PlacementAction.Refuse(call, Refusal.TimedOut(why))
             else -> PlacementAction.Refuse(call, Refusal.Broken(why))
         }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementAction.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementAction.kt
@@ -33,6 +33,10 @@
     public data class Resumed(val call: CallState, val attempt: Attempt, val pause: Duration) :
         PlacementAction()
 
+    /** Say that [upstream] broke off when it began the call, as [strikes] upstreams now did. */
+    public data class Struck(val call: CallState, val upstream: UpstreamId, val strikes: Int) :
+        PlacementAction()
+
     /** Ask an upstream for a sign of life. */
     public data class Probe(val upstream: UpstreamEntry, val silentMillis: Long) :
         PlacementAction()
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementEvent.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementEvent.kt
@@ -3,7 +3,9 @@
 import kotlin.time.Duration
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
 import org.bilberrycart.gateway.model.AttemptKey
+import org.bilberrycart.gateway.model.CallFingerprint
 import org.bilberrycart.gateway.model.CallKey
 import org.bilberrycart.gateway.model.RoutedCall
 import org.bilberrycart.gateway.model.UpstreamAnswer
@@ -44,10 +46,19 @@
     public data class Probed(val upstream: UpstreamId, val isAlive: Boolean, val cause: String) :
         PlacementEvent()
 
-    /** What other nodes have at each upstream, and how long ago they lost some. */
+    /**
+     * What other nodes say.
+     *
+     * @property loads their work at each upstream.
+     * @property lost how long ago they lost each of these.
+     * @property strikes upstreams that broke off when they began a call, by its content.
+     * @property nodes how many nodes there are, with this one.
+     */
     public data class LoadElsewhere(
         val loads: PersistentMap<UpstreamId, Int>,
         val lost: PersistentMap<UpstreamId, Duration>,
+        val strikes: PersistentMap<CallFingerprint, Set<UpstreamId>> = persistentMapOf(),
+        val nodes: Int = 1,
     ) : PlacementEvent()
 
     /** Time has passed. */
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementFilter.kt
@@ -4,9 +4,12 @@
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.toPersistentList
 import org.bilberrycart.gateway.model.AttemptKey
+import org.bilberrycart.gateway.model.CallFingerprint
 import org.bilberrycart.gateway.model.UpstreamEntry
 import org.bilberrycart.pipeline.Filter
 import org.bilberrycart.pipeline.Step
+import org.bilberrycart.pipeline.then
+import org.bilberrycart.pipeline.withActions
 
 /** Decides where each call goes, when it is sent again, and when it ends. */
 public class PlacementFilter(private val settings: PlacementSettings = PlacementSettings()) :
@@ -26,16 +29,37 @@
             state.calls[event.key]?.let { Ending.forget(state, it, "caller gone") } ?: Step(state)
         is PlacementEvent.Answered -> answers.answered(state, event.attempt, event.answer, now)
         is PlacementEvent.Unsent -> losses.unsent(state, event.attempt, event.cause, now)
-        is PlacementEvent.Broken -> losses.broken(state, event.attempt, event.cause, now)
+        is PlacementEvent.Broken -> struck(state, event.attempt, now)
+            .then { losses.broken(it, event.attempt, event.cause, now) }
         is PlacementEvent.StreamOpened -> moved(state, event.attempt, now, hasEvents = false)
         is PlacementEvent.StreamMoved -> moved(state, event.attempt, now, hasEvents = true)
         is PlacementEvent.StreamEnded -> ended(state, event.attempt, now)
         is PlacementEvent.Registered -> registered(state, event.entries)
         is PlacementEvent.Probed -> probed(state, event, now)
-        is PlacementEvent.LoadElsewhere -> Step(elsewhere(state, event, now))
+        is PlacementEvent.LoadElsewhere -> Step(elsewhere(told(state, event), event, now))
         PlacementEvent.Tick -> ticks.tick(state, now)
     }
 
+    /** Notes that an upstream broke off before any sign of an answer. */
+    private fun struck(
+        state: PlacementState,
+        key: AttemptKey,
+        now: Duration,
+    ): Step<PlacementState, PlacementAction> {
+        val call = state.calls[key.call] ?: return Step(state)
+        val attempt = call.attempts[key.number]?.takeUnless { it.hasEvents } ?: return Step(state)
+        val content = CallFingerprint.of(call.call)
+        val book = state.crashes.struck(content, attempt.upstream, now)
+        return state.copy(crashes = book)
+            .withActions(PlacementAction.Struck(call, attempt.upstream, book.strikes(content)))
+    }
+
+    private fun told(state: PlacementState, event: PlacementEvent.LoadElsewhere): PlacementState =
+        state.copy(
+            crashes = state.crashes.copy(told = event.strikes),
+            nodes = maxOf(event.nodes, state.nodes ?: 1),
+        )
+
     private fun moved(
         state: PlacementState,
         key: AttemptKey,
@@ -46,13 +70,15 @@
         val attempt = call.attempts[key.number] ?: return Step(state)
         val moved = attempt.copy(heardAt = now, hasEvents = attempt.hasEvents || hasEvents)
         val since = call.silentSince.takeIf { hasEvents }
+        val isFirst = hasEvents && !attempt.hasEvents
+        val known = if (isFirst) state.answered(call, now) else state
         val next = call.copy(
             attempts = call.attempts.put(key.number, moved),
             isOpen = true,
             silentSince = if (hasEvents) null else call.silentSince,
         )
         return Step(
-            state.with(next).update(attempt.upstream) { it.heard(now) },
+            known.with(next).update(attempt.upstream) { it.heard(now) },
             listOfNotNull(since?.let { PlacementAction.Resumed(next, moved, now - it) })
                 .toPersistentList(),
         )
@@ -91,6 +117,7 @@
         val lostAt = event.lost[id]?.let { now - it }
         val heard = view.copy(elsewhere = event.loads[id] ?: 0)
         when {
+            heard == view && lostAt == null -> next
             lostAt != null && lostAt > view.heardAt && view.failures == 0 ->
                 next.with(heard.copy(failures = 1, downUntil = lostAt + settings.firstDown * 2))
             else -> next.with(heard)
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementSettings.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementSettings.kt
@@ -9,7 +9,7 @@
  *
  * @property repeatWindow the span over which the repeat budget counts.
  * @property repeatRatio repeats for each first sending.
- * @property repeatSlack repeats of this node beyond the ratio, in a window.
+ * @property repeatSlack repeats beyond the ratio, in a window, that all nodes share.
  * @property streamSilence how long a stream may be silent before its upstream is probed.
  * @property startSilence how long an upstream may be silent before the first event.
  * @property streamStall how long a stream may stall at an upstream that answers probes.
@@ -24,7 +24,7 @@
 public data class PlacementSettings(
     val repeatWindow: Duration = 10.seconds,
     val repeatRatio: Double = 0.6,
-    val repeatSlack: Double = 18.0,
+    val repeatSlack: Double = 150.0,
     val streamSilence: Duration = 220.milliseconds,
     val startSilence: Duration = 400.milliseconds,
     val streamStall: Duration = 1500.milliseconds,
@@ -35,4 +35,15 @@
     val firstDown: Duration = 200.milliseconds,
     val longestDown: Duration = 800.milliseconds,
     val waitShare: Double = 0.9,
-)
+) {
+    /** Returns this node's part of the shared slack among [nodes], some of them not yet heard. */
+    internal fun slack(nodes: Int?): Double =
+        repeatSlack / (UNHEARD_FACTOR * maxOf(nodes ?: UNKNOWN_NODES, FEWEST_NODES))
+
+    private companion object {
+        /** Nodes may have been replaced without a word. */
+        const val UNHEARD_FACTOR = 2
+        const val FEWEST_NODES = 4
+        const val UNKNOWN_NODES = 32
+    }
+}
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementState.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementState.kt
@@ -6,11 +6,18 @@
 import org.bilberrycart.gateway.model.ServiceName
 import org.bilberrycart.gateway.model.UpstreamId
 
-/** Everything that placement knows: upstreams, calls under way and the use of the budget. */
+/**
+ * Everything that placement knows: upstreams, calls under way and the use of the budget.
+ *
+ * @property crashes calls that upstreams broke off when they began them.
+ * @property nodes how many nodes share the repeat budget; null before any other was heard.
+ */
 public data class PlacementState(
     val upstreams: PersistentMap<UpstreamId, UpstreamView> = persistentMapOf(),
     val calls: PersistentMap<CallKey, CallState> = persistentMapOf(),
     val budgets: PersistentMap<ServiceName, RepeatBudget> = persistentMapOf(),
+    val crashes: CrashBook = CrashBook(),
+    val nodes: Int? = null,
     val seed: Long = 1,
 ) {
     /** The work of this node at each upstream: attempts, twice those without an event. */
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/Placing.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/Placing.kt
@@ -1,6 +1,7 @@
 package org.bilberrycart.gateway.placement
 
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 import kotlinx.collections.immutable.persistentListOf
 import org.bilberrycart.gateway.model.AttemptKey
 import org.bilberrycart.gateway.model.RepeatRule
@@ -22,6 +23,13 @@
         val waiting = state.with(call)
         return when {
             now >= call.call.endsAt -> Ending.giveUp(waiting, call, "time is over, $why", now)
+            !state.allows(call) -> Ending.giveUp(
+                waiting,
+                call,
+                "upstreams break off when they begin it, $why",
+                now,
+                comeBack = SUSPECT_WAIT,
+            )
             !call.hasAttemptsLeft -> Ending.giveUp(waiting, call, "no attempt left, $why", now)
             !isInBudget(state, call, now) ->
                 Ending.giveUp(waiting, call, "repeat budget is used up, $why", now)
@@ -44,13 +52,13 @@
     }
 
     private fun isInBudget(state: PlacementState, call: CallState, now: Duration): Boolean =
-        call.sendings == 0 || budget(state, call.call.service.name).allows(now)
+        call.sendings == 0 ||
+            budget(state, call.call.service.name).allows(now, settings.slack(state.nodes))
 
     private fun budget(state: PlacementState, service: ServiceName): RepeatBudget =
         state.budgets[service] ?: RepeatBudget(
             window = settings.repeatWindow,
             ratio = settings.repeatRatio,
-            slack = settings.repeatSlack,
         )
 
     private fun send(
@@ -94,4 +102,8 @@
             .copy(budgets = state.budgets.put(service, counted), seed = chooser.nextSeed)
         return Step(next, persistentListOf(PlacementAction.Send(order, why)))
     }
+
+    private companion object {
+        val SUSPECT_WAIT = 30.seconds
+    }
 }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/RepeatBudget.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/RepeatBudget.kt
@@ -11,19 +11,17 @@
  *
  * @property window the span over which the budget counts.
  * @property ratio how many repeats a first sending allows.
- * @property slack repeats that this node may make beyond that in a window.
  */
 public data class RepeatBudget(
     val window: Duration,
     val ratio: Double,
-    val slack: Double,
     private val seconds: PersistentList<Second> = persistentListOf(),
 ) {
     /** The sendings of one second. */
     public data class Second(val number: Long, val firsts: Int, val repeats: Int)
 
-    /** Whether one more repeat is within the budget at [now]. */
-    public fun allows(now: Duration): Boolean {
+    /** Whether one more repeat is within the budget at [now], with [slack] repeats beyond it. */
+    public fun allows(now: Duration, slack: Double): Boolean {
         val recent = seconds.filter { it.number >= now.inWholeSeconds - window.inWholeSeconds }
         return recent.sumOf { it.repeats } + 1 <= ratio * recent.sumOf { it.firsts } + slack
     }
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/peers/PeersFilterTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/peers/PeersFilterTest.kt
@@ -28,13 +28,26 @@
     incarnation: Long = 1,
     loads: Map<String, Int> = emptyMap(),
     members: List<String> = emptyList(),
-) = PeersEvent.Received(PeerNews(sender, incarnation, sequence, members, loads))
+    lost: Map<String, Int> = emptyMap(),
+    strikes: Map<Long, List<String>> = emptyMap(),
+) = PeersEvent.Received(
+    PeerNews(sender, incarnation, sequence, members, loads, lost, strikes = strikes),
+)
+
+private val START = 1.seconds
+
+/** A tick also calls on the seed that was not heard. */
+private const val SOUGHT = "tell seed:1 {}"
 
 class PeersFilterTest :
     FunSpec({
         fun tell(action: PeersAction): String = when (action) {
             is PeersAction.Tell -> "tell ${action.addresses.joinToString("+")} ${action.news.loads}"
-            is PeersAction.Elsewhere -> "elsewhere ${action.loads}"
+            is PeersAction.Elsewhere -> listOfNotNull(
+                "elsewhere ${action.told.loads} of ${action.peers}",
+                action.told.lost.takeIf { it.isNotEmpty() }?.let { "lost $it" },
+                action.told.strikes.takeIf { it.isNotEmpty() }?.let { "strikes $it" },
+            ).joinToString(" ")
             is PeersAction.Tables -> "tables"
             is PeersAction.Believe -> if (action.isAlive) "heard" else "silent"
         }
@@ -43,42 +56,91 @@
             val filter = PeersFilter()
             val first = PeersState("me:1", incarnation = 5, persistentSetOf("seed:1"))
             val state = case.before.fold(first) { state, event ->
-                filter.step(state, event, Duration.ZERO).state
+                filter.step(state, event, START).state
             }
-            filter.step(state, case.last, case.wait).actions.map(::tell) shouldBe case.actions
+            filter.step(state, case.last, START + case.wait).actions.map(::tell) shouldBe
+                case.actions
         }
 
-        context("what peers say") {
+        context("news of a peer") {
             withData(
                 PeersCase(
-                    "loads of all peers are added up",
-                    listOf(news("a:1", loads = mapOf("u" to 2))),
-                    last = news("b:1", loads = mapOf("u" to 1, "v" to 3)),
-                    actions = listOf("heard", "tables", "elsewhere {u=3, v=3}"),
+                    "of the first hearing name it and its tables",
+                    emptyList(),
+                    last = news("b:1"),
+                    actions = listOf("heard", "tables"),
                 ),
                 PeersCase(
-                    "newer news replace older ones",
+                    "say nothing new when they come again",
                     listOf(news("a:1", loads = mapOf("u" to 2))),
                     last = news("a:1", sequence = 2),
-                    actions = listOf("elsewhere {}"),
+                    actions = emptyList(),
                 ),
                 PeersCase(
-                    "news that overtook others stand",
-                    listOf(news("a:1", sequence = 3, loads = mapOf("u" to 2))),
-                    last = news("a:1", sequence = 2),
+                    "say nothing when they are its own that come back",
+                    emptyList(),
+                    last = news("me:1", loads = mapOf("u" to 2)),
                     actions = emptyList(),
                 ),
+            ) { check(it) }
+        }
+
+        context("what peers say is told at the next tick") {
+            withData(
+                PeersCase(
+                    "loads of all peers are added up",
+                    listOf(
+                        news("a:1", loads = mapOf("u" to 2)),
+                        news("b:1", loads = mapOf("u" to 1, "v" to 3)),
+                    ),
+                    last = tick(),
+                    actions = listOf("elsewhere {u=3, v=3} of 2", "tell a:1+b:1 {}", SOUGHT),
+                ),
+                PeersCase(
+                    "newer news replace older ones",
+                    listOf(
+                        news("a:1", loads = mapOf("u" to 2)),
+                        news("a:1", sequence = 2, loads = mapOf("u" to 1)),
+                    ),
+                    last = tick(),
+                    actions = listOf("elsewhere {u=1} of 1", "tell a:1 {}", SOUGHT),
+                ),
+                PeersCase(
+                    "news that overtook others stand",
+                    listOf(
+                        news("a:1", sequence = 3, loads = mapOf("u" to 2)),
+                        news("a:1", sequence = 2),
+                    ),
+                    last = tick(),
+                    actions = listOf("elsewhere {u=2} of 1", "tell a:1 {}", SOUGHT),
+                ),
                 PeersCase(
                     "a restarted peer counts from one",
-                    listOf(news("a:1", sequence = 9, loads = mapOf("u" to 2))),
-                    last = news("a:1", sequence = 1, incarnation = 2),
-                    actions = listOf("elsewhere {}"),
+                    listOf(
+                        news("a:1", sequence = 9, loads = mapOf("u" to 2)),
+                        news("a:1", incarnation = 2, loads = mapOf("u" to 5)),
+                    ),
+                    last = tick(),
+                    actions = listOf("elsewhere {u=5} of 1", "tell a:1 {}", SOUGHT),
                 ),
                 PeersCase(
-                    "its own news that come back say nothing",
-                    emptyList(),
-                    last = news("me:1", loads = mapOf("u" to 2)),
-                    actions = emptyList(),
+                    "a loss ages until it is told",
+                    listOf(news("a:1", lost = mapOf("u" to 30))),
+                    last = tick(),
+                    actions = listOf("elsewhere {} of 1 lost {u=80}", "tell a:1 {}", SOUGHT),
+                ),
+                PeersCase(
+                    "upstreams that broke off calls of one content are put together",
+                    listOf(
+                        news("a:1", strikes = mapOf(7L to listOf("u", "v"))),
+                        news("b:1", strikes = mapOf(7L to listOf("v", "w"))),
+                    ),
+                    last = tick(),
+                    actions = listOf(
+                        "elsewhere {} of 2 strikes {7=[u, v, w]}",
+                        "tell a:1+b:1 {}",
+                        SOUGHT,
+                    ),
                 ),
             ) { check(it) }
         }
@@ -113,10 +175,10 @@
                 ),
                 PeersCase(
                     "a silent peer has no load",
-                    listOf(news("seed:1", loads = mapOf("u" to 1))),
+                    listOf(news("seed:1", loads = mapOf("u" to 1)), tick()),
                     wait = 1.6.seconds,
                     last = tick(),
-                    actions = listOf("silent", "elsewhere {}", "tell seed:1 {}"),
+                    actions = listOf("silent", "elsewhere {} of 0", "tell seed:1 {}"),
                 ),
             ) { check(it) }
         }
@@ -133,6 +195,7 @@
                     mapOf(
                         "T" to 9,
                     ),
+                    mapOf(-3L to listOf("v")),
                 )
             PeerCodec.news(PeerCodec.encode(sent)) shouldBe sent
         }
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/PlacementRun.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/PlacementRun.kt
@@ -17,7 +17,10 @@
     fun step(event: PlacementEvent): List<String> {
         val step = filter.step(state, event, now)
         state = step.state
-        return step.actions.filterNot { it is PlacementAction.Believe }.map(::tell)
+        return step.actions.filterNot {
+            it is PlacementAction.Believe ||
+                it is PlacementAction.Struck
+        }.map(::tell)
     }
 
     fun register(vararg ids: String): List<String> = step(
@@ -47,6 +50,7 @@
         is PlacementAction.Resumed -> "resumed ${action.pause.inWholeMilliseconds}"
         is PlacementAction.Probe -> "probe ${action.upstream.id.value}"
         is PlacementAction.Believe -> action.belief
+        is PlacementAction.Struck -> "struck ${action.strikes}"
     }
 
     companion object {
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/RepeatBudgetTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/RepeatBudgetTest.kt
@@ -26,9 +26,9 @@
             BudgetCase("calls of the window count", 10, 6, at = 9, isAllowed = true),
             BudgetCase("older calls and repeats do not", 10, 7, at = 12, isAllowed = true),
         ) { case ->
-            val empty = RepeatBudget(window = 10.seconds, ratio = 0.5, slack = 2.0)
+            val empty = RepeatBudget(window = 10.seconds, ratio = 0.5)
             val after = List(case.firsts) { false }.plus(List(case.repeats) { true })
                 .fold(empty) { budget, isRepeat -> budget.counted(0.seconds, isRepeat) }
-            after.allows(case.at.seconds) shouldBe case.isAllowed
+            after.allows(case.at.seconds, slack = 2.0) shouldBe case.isAllowed
         }
     })
