Read the store and the peers at a cost that more nodes don't multiply

Now upstreams' changes are taken together for 25 ms a peer (75 ms with four nodes, 750 ms at most); only rows that changed are decoded and only entries that changed are replaced; versions of tables are passed on only while the own feed fails; many peers hear every 14 ms a peer; an upstream is said to be gone once; a sending that did not arrive is not counted as a repeat. Causes in logs lose the dump of the connection.

--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/discovery/DiscoveryEvent.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/discovery/DiscoveryEvent.kt
@@ -16,6 +16,9 @@
     public data class PeerSent(val table: StoreTable, val page: StoreReply.Page) :
         DiscoveryEvent()
 
+    /** There are [count] other nodes that read the store. */
+    public data class Peers(val count: Int) : DiscoveryEvent()
+
     /** Time has passed. */
     public data object Tick : DiscoveryEvent()
 }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/discovery/DiscoveryFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/discovery/DiscoveryFilter.kt
@@ -30,6 +30,7 @@
         is DiscoveryEvent.Replied -> replied(state, event.table, event.reply, now)
         is DiscoveryEvent.PeerKnows -> peerKnows(state, event, now)
         is DiscoveryEvent.PeerSent -> peerSent(state, event, now)
+        is DiscoveryEvent.Peers -> Step(state.copy(peers = event.count))
         DiscoveryEvent.Tick -> tick(state, now)
     }
 
@@ -178,11 +179,17 @@
             state.with(table, next),
             persistentListOf(
                 DiscoveryAction.Publish(table, visible(next)),
-                follow(table, after.version ?: 0),
+                DiscoveryAction.Follow(table, after.version ?: 0, pause(table, state.peers)),
             ),
         )
     }
 
+    /** Upstreams come and go all the time: their changes are taken together, the more nodes ask. */
+    private fun pause(table: StoreTable, peers: Int): Duration = when (table) {
+        StoreTable.CONFIGURATION -> Duration.ZERO
+        StoreTable.UPSTREAMS -> minOf(PAUSE_PER_PEER * peers, LONGEST_PAUSE)
+    }
+
     private fun tick(state: DiscoveryState, now: Duration): Step<DiscoveryState, DiscoveryAction> {
         val expired = state.feeds.filterValues { feed ->
             feed.lapsed.any { it.value.until <= now } && !feed.isFailing
@@ -214,6 +221,11 @@
         val FIRST_RETRY = 100.milliseconds
         val LONGEST_RETRY = 500.milliseconds
 
+        val PAUSE_PER_PEER = 25.milliseconds
+
+        /** Well below the time for which a leaving upstream still serves. */
+        val LONGEST_PAUSE = 750.milliseconds
+
         /** The least time between two questions to peers about a table. */
         val ASK_INTERVAL = 300.milliseconds
 
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/discovery/DiscoveryState.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/discovery/DiscoveryState.kt
@@ -3,7 +3,7 @@
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
 
-/** The tables as far as they were read. */
+/** The tables as far as they were read, and how many [peers] read them too. */
 public data class DiscoveryState(
     val feeds: PersistentMap<StoreTable, TableFeed> =
         persistentMapOf<StoreTable, TableFeed>().putAll(
@@ -11,4 +11,5 @@
                 TableFeed()
             },
         ),
+    val peers: Int = 0,
 )
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/http/FrontHandler.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/http/FrontHandler.kt
@@ -64,7 +64,7 @@
                 cause == null -> use(Body(bytes))
                 request.length < 0 && cause is IllegalStateException ->
                     refuse(exchange, Refusal.TooLarge, head.requestId)
-                else -> exchange.abort("body not read: $cause")
+                else -> exchange.abort("body not read: ${cause.brief()}")
             }
         }
     }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/http/UpstreamClient.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/http/UpstreamClient.kt
@@ -69,7 +69,7 @@
             .timeout(limit.inWholeMilliseconds, java.util.concurrent.TimeUnit.MILLISECONDS)
             .send(object : BufferingResponseListener(LONGEST_REPORT_BYTES) {
                 override fun onComplete(result: Result) {
-                    val cause = result.failure?.toString() ?: contentAsString.orEmpty()
+                    val cause = result.failure?.brief() ?: contentAsString.orEmpty()
                     placement(PlacementEvent.Probed(upstream.id, result.isSucceeded, cause))
                 }
             })
@@ -136,9 +136,9 @@
                         UpstreamAnswer(answer, Body(body.toByteArray())),
                     ),
                 )
-                !isBegun -> placement(PlacementEvent.Unsent(attempt, cause.toString()))
-                isStream -> relay(RelayEvent.Failed(attempt, cause.toString()))
-                else -> placement(PlacementEvent.Broken(attempt, cause.toString()))
+                !isBegun -> placement(PlacementEvent.Unsent(attempt, cause.brief()))
+                isStream -> relay(RelayEvent.Failed(attempt, cause.brief()))
+                else -> placement(PlacementEvent.Broken(attempt, cause.brief()))
             }
         }
     }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DecisionLog.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DecisionLog.kt
@@ -72,7 +72,7 @@
             action.pause.inWholeMilliseconds,
         )
         is PlacementAction.Struck -> log.info(
-            "event=broke_off_at_start request={} call={} upstream={} upstreams_with_same_content={}",
+            "event=broke_off_at_start request={} call={} upstream={} same_content={}",
             action.call.call.head.requestId,
             action.call.call.key.number,
             action.upstream.value,
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DiscoverySink.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DiscoverySink.kt
@@ -3,9 +3,9 @@
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
-import kotlinx.collections.immutable.toPersistentList
 import org.bilberrycart.gateway.discovery.DiscoveryAction
 import org.bilberrycart.gateway.discovery.DiscoveryEvent
+import org.bilberrycart.gateway.discovery.RowCache
 import org.bilberrycart.gateway.discovery.RowReader
 import org.bilberrycart.gateway.discovery.StoreClient
 import org.bilberrycart.gateway.discovery.StoreReply
@@ -26,6 +26,8 @@
     private val log: DecisionLog,
     private val askPeer: (DiscoveryAction.AskPeer) -> Unit,
 ) : (DiscoveryAction) -> Unit {
+    private var upstreams = RowCache()
+
     override fun invoke(action: DiscoveryAction): Unit = when (action) {
         is DiscoveryAction.Read -> later(action.delay) {
             store.read(action.table, action.from) { replied(action.table, it) }
@@ -57,11 +59,9 @@
                 log.published(action, unreadable = emptyList())
             }
             StoreTable.UPSTREAMS -> {
-                val read = action.rows.associateWith(rows::upstream)
-                rings.placement.put(
-                    PlacementEvent.Registered(read.values.filterNotNull().toPersistentList()),
-                )
-                log.published(action, read.filterValues { it == null }.keys.map { it.key })
+                upstreams = upstreams.updated(action.rows, rows)
+                rings.placement.put(PlacementEvent.Registered(upstreams.entries))
+                log.published(action, upstreams.unreadable)
                 rings.lifecycle.put(LifecycleEvent.UpstreamsListed)
             }
         }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/PeerLinks.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/PeerLinks.kt
@@ -105,9 +105,13 @@
         is PeersAction.Elsewhere -> placement(elsewhere(action))
         is PeersAction.Tables -> action.versions.forEach { (name, version) ->
             StoreTable.entries.firstOrNull { it.name == name }
+                ?.takeIf { discoveryState().feeds.getValue(it).isFailing }
                 ?.let { discovery(DiscoveryEvent.PeerKnows(it, action.address, version)) }
         }
-        is PeersAction.Believe -> log.peer(action)
+        is PeersAction.Believe -> {
+            log.peer(action)
+            discovery(DiscoveryEvent.Peers(action.peers))
+        }
     }
 
     private fun elsewhere(action: PeersAction.Elsewhere) = PlacementEvent.LoadElsewhere(
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/PlacementSink.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/PlacementSink.kt
@@ -9,7 +9,7 @@
 import org.bilberrycart.gateway.relay.RelayEvent
 import org.bilberrycart.pipeline.Clock
 
-/** Carries out what placement decided: logs and counts it, then hands it to relay, client or caller. */
+/** Logs and counts what placement decided, then hands it to the relay, the client or the caller. */
 internal class PlacementSink(
     private val rings: NodeRings,
     private val exchanges: OpenExchanges,
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeersAction.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeersAction.kt
@@ -11,6 +11,7 @@
     /** The peer at [address] knows its tables up to these versions. */
     public data class Tables(val address: String, val versions: Map<String, Long>) : PeersAction()
 
-    /** A peer was heard for the first time, or no more. */
-    public data class Believe(val address: String, val isAlive: Boolean) : PeersAction()
+    /** A peer was heard for the first time, or no more; [peers] are heard now. */
+    public data class Believe(val address: String, val isAlive: Boolean, val peers: Int) :
+        PeersAction()
 }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeersFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeersFilter.kt
@@ -41,7 +41,7 @@
         )
         val isNew = known == null
         val actions = listOfNotNull(
-            PeersAction.Believe(news.sender, isAlive = true).takeIf { isNew },
+            PeersAction.Believe(news.sender, isAlive = true, heard.peers.size).takeIf { isNew },
             PeersAction.Tables(news.sender, news.tables)
                 .takeIf {
                     known?.news?.tables != news.tables || news.sequence % TABLES_EVERY == 0L
@@ -70,8 +70,9 @@
         val sought = seek(told.state, event, now)
         return Step(
             sought.state,
-            silent.keys.map<String, PeersAction> { PeersAction.Believe(it, isAlive = false) }
-                .toPersistentList().addAll(changed.actions).addAll(told.actions)
+            silent.keys.map<String, PeersAction> {
+                PeersAction.Believe(it, isAlive = false, left.peers.size)
+            }.toPersistentList().addAll(changed.actions).addAll(told.actions)
                 .addAll(sought.actions),
         )
     }
@@ -86,8 +87,10 @@
             state.told.tables != event.tables ||
             state.told.strikes != event.strikes ||
             event.lost.isNotEmpty()
-        val pause = if (isChanged) PAUSE_PER_PEER * state.peers.size else HEARTBEAT
-        if (state.peers.isEmpty() || now - state.toldAt < pause) return Step(state)
+        val change = if (state.peers.size <= FEW_PEERS) PAUSE_PER_PEER else LONGER_PAUSE_PER_PEER
+        val pause = change * state.peers.size
+        val isEarly = now - state.toldAt < if (isChanged) pause else maxOf(pause, HEARTBEAT)
+        if (state.peers.isEmpty() || isEarly) return Step(state)
         return send(state.copy(toldAt = now), state.peers.keys.toList(), event)
     }
 
@@ -149,6 +152,10 @@
         val SILENCE = 1500.milliseconds
         val HEARTBEAT = 400.milliseconds
         val PAUSE_PER_PEER = 7.milliseconds
+        const val FEW_PEERS = 8
+
+        /** Many peers hear less often, but at least twice within [SILENCE] up to fifty of them. */
+        val LONGER_PAUSE_PER_PEER = 14.milliseconds
         val ELSEWHERE_INTERVAL = 40.milliseconds
         val SEEK_INTERVAL = 1.seconds
         const val MAX_MEMBERS = 16
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/Attempt.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/Attempt.kt
@@ -8,6 +8,7 @@
  *
  * @property heardAt when the upstream last sent something for it; the time of sending before that.
  * @property hasEvents whether an event of its stream has come.
+ * @property isRepeat whether it was counted as a repeat.
  * @property backup the upstream that receives a copy of its memory, if any.
  */
 public data class Attempt(
@@ -16,5 +17,6 @@
     val sentAt: Duration,
     val heardAt: Duration = sentAt,
     val hasEvents: Boolean = false,
+    val isRepeat: Boolean = false,
     val backup: UpstreamId? = null,
 )
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/CallState.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/CallState.kt
@@ -14,6 +14,7 @@
  *
  * @property attempts those under way, by number.
  * @property sendings how often the call was sent, whatever came of it.
+ * @property arrivals how many of the sendings may have reached an upstream.
  * @property runs how many of the sendings may have run.
  * @property tried the upstreams that it was sent to.
  * @property losses how many upstreams broke off while they had the call.
@@ -26,6 +27,7 @@
     val call: RoutedCall,
     val attempts: PersistentMap<Int, Attempt> = persistentMapOf(),
     val sendings: Int = 0,
+    val arrivals: Int = 0,
     val runs: Int = 0,
     val tried: PersistentSet<UpstreamId> = persistentSetOf(),
     val losses: Int = 0,
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/Losses.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/Losses.kt
@@ -22,9 +22,11 @@
         return down(state, attempt.upstream, cause, now).then { next ->
             val left = call.copy(
                 attempts = call.attempts.remove(attempt.number),
+                arrivals = call.arrivals - 1,
                 runs = call.runs - 1,
             )
-            again(next.counted(attempt, -1), left, now, "unsent, $cause")
+            val free = placing.refunded(next.counted(attempt, -1), left, attempt, now)
+            again(free, left, now, "unsent, $cause")
         }
     }
 
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementFilter.kt
@@ -132,12 +132,16 @@
         val gone = state.upstreams.values.filter { it.entry.id !in listed }
         val merged = entries.fold(state) { next, entry ->
             val known = state.upstreams[entry.id]
-            val isSame = known != null && known.entry.bornMillis == entry.bornMillis
-            next.with(if (isSame) known!!.copy(entry = entry) else renewed(entry, known))
+            when {
+                known == null || known.entry.bornMillis != entry.bornMillis ->
+                    next.with(renewed(entry, known))
+                known.entry != entry -> next.with(known.copy(entry = entry))
+                else -> next
+            }
         }
         val without = gone.fold(merged) { next, view ->
             when {
-                view.running == 0 && view.copies == 0 ->
+                view.isUnused ->
                     next.copy(upstreams = next.upstreams.remove(view.entry.id))
                 else -> next.with(view.copy(entry = view.entry.copy(isLeaving = true)))
             }
@@ -165,7 +169,7 @@
             }
         }
         return (
-            changed + gone.filterNot { it.entry.isLeaving && it.running > 0 }
+            changed + gone.filter { !it.entry.isLeaving || it.isUnused }
                 .map { PlacementAction.Believe(it.entry.id, "gone", "registry") }
             ).toPersistentList()
     }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/Placing.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/Placing.kt
@@ -52,7 +52,7 @@
     }
 
     private fun isInBudget(state: PlacementState, call: CallState, now: Duration): Boolean =
-        call.sendings == 0 ||
+        call.arrivals == 0 ||
             budget(state, call.call.service.name).allows(now, settings.slack(state.nodes))
 
     private fun budget(state: PlacementState, service: ServiceName): RepeatBudget =
@@ -61,6 +61,19 @@
             ratio = settings.repeatRatio,
         )
 
+    /** Returns [state] after [attempt] of [call] did not reach its upstream. */
+    fun refunded(
+        state: PlacementState,
+        call: CallState,
+        attempt: Attempt,
+        now: Duration,
+    ): PlacementState {
+        if (!attempt.isRepeat) return state
+        val service = call.call.service.name
+        val counted = budget(state, service).counted(now, repeats = -1)
+        return state.copy(budgets = state.budgets.put(service, counted))
+    }
+
     private fun send(
         state: PlacementState,
         call: CallState,
@@ -78,6 +91,7 @@
             number = call.sendings + 1,
             upstream = main.entry.id,
             sentAt = now,
+            isRepeat = call.arrivals > 0,
             backup = backup?.entry?.id,
         )
         val order = SendOrder(
@@ -92,12 +106,18 @@
         val sent = call.copy(
             attempts = call.attempts.put(attempt.number, attempt),
             sendings = call.sendings + 1,
+            arrivals = call.arrivals + 1,
             runs = call.runs + 1,
             tried = call.tried.add(main.entry.id),
             copy = null,
         )
         val service = call.call.service.name
-        val counted = budget(state, service).counted(now, isRepeat = call.sendings > 0)
+        val before = budget(state, service)
+        val counted = when {
+            attempt.isRepeat -> before.counted(now, repeats = 1)
+            call.sendings == 0 -> before.counted(now, firsts = 1)
+            else -> before
+        }
         val next = state.with(sent).counted(attempt, +1)
             .copy(budgets = state.budgets.put(service, counted), seed = chooser.nextSeed)
         return Step(next, persistentListOf(PlacementAction.Send(order, why)))
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/RepeatBudget.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/RepeatBudget.kt
@@ -26,14 +26,14 @@
         return recent.sumOf { it.repeats } + 1 <= ratio * recent.sumOf { it.firsts } + slack
     }
 
-    /** Returns the budget after a sending at [now]. */
-    public fun counted(now: Duration, isRepeat: Boolean): RepeatBudget {
+    /** Returns the budget after so many sendings at [now]; negative ones are taken back. */
+    public fun counted(now: Duration, firsts: Int = 0, repeats: Int = 0): RepeatBudget {
         val number = now.inWholeSeconds
         val current = seconds.lastOrNull()?.takeIf { it.number == number } ?: Second(number, 0, 0)
-        val counted = when {
-            isRepeat -> current.copy(repeats = current.repeats + 1)
-            else -> current.copy(firsts = current.firsts + 1)
-        }
+        val counted = current.copy(
+            firsts = current.firsts + firsts,
+            repeats = current.repeats + repeats,
+        )
         val kept = seconds.filter {
             it.number != number && it.number >= number - (window + MARGIN).inWholeSeconds
         }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/UpstreamView.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/UpstreamView.kt
@@ -32,6 +32,10 @@
     val probeSentAt: Duration? = null,
     val probedAt: Duration? = null,
 ) {
+    /** Whether no attempt of this node has to do with it. */
+    public val isUnused: Boolean
+        get() = running == 0 && copies == 0
+
     /** Whether it may get new work at [now]. */
     public fun isUsable(now: Duration): Boolean = isUp(now) && probeSentAt == null
 
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/discovery/DiscoveryFilterTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/discovery/DiscoveryFilterTest.kt
@@ -5,6 +5,7 @@
 import io.kotest.engine.names.WithDataTestName
 import io.kotest.matchers.shouldBe
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.collections.immutable.toPersistentList
 import org.bilberrycart.gateway.model.Body
@@ -53,6 +54,23 @@
             filter.step(state, case.last, now + case.wait).actions.map(::tell) shouldBe case.actions
         }
 
+        context("changes are taken together for longer the more nodes read") {
+            withData(
+                nameFn = { (table, peers, pause) -> "$table, $peers peers: $pause" },
+                Triple(StoreTable.UPSTREAMS, 0, 0.milliseconds),
+                Triple(StoreTable.UPSTREAMS, 3, 75.milliseconds),
+                Triple(StoreTable.UPSTREAMS, 330, 750.milliseconds),
+                Triple(StoreTable.CONFIGURATION, 330, 0.milliseconds),
+            ) { (table, peers, pause) ->
+                val filter = DiscoveryFilter()
+                val state = filter.step(DiscoveryState(), DiscoveryEvent.Peers(peers), 1.seconds)
+                val reply = DiscoveryEvent.Replied(table, page("a"))
+                filter.step(state.state, reply, 1.seconds).actions
+                    .filterIsInstance<DiscoveryAction.Follow>().map { it.delay } shouldBe
+                    listOf(pause)
+            }
+        }
+
         context("a table is read once and then followed") {
             withData(
                 DiscoveryCase(
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/PlacementFilterTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/PlacementFilterTest.kt
@@ -176,6 +176,16 @@
             ) { check(it) }
         }
 
+        test("sendings that never arrive use nothing of the repeat budget") {
+            val run = PlacementRun(PlacementSettings(repeatRatio = 0.0, repeatSlack = 0.0))
+            run.register("a", "b", "c", "d")
+            run.step(PlacementEvent.Submit(Samples.call(Samples.route(safe, attempts = 4))))
+            val ends = listOf(unsent, PlacementEvent.Unsent(attempt(2), "refused"))
+                .flatMap(run::step).map { it.substringBefore(' ') }
+            ends shouldBe listOf("send", "send")
+            run.step(PlacementEvent.Broken(attempt(3), "reset")) shouldBe listOf("refuse broken")
+        }
+
         context("a caller that leaves") {
             withData(
                 PlacementCase(
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/RepeatBudgetTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/RepeatBudgetTest.kt
@@ -27,8 +27,15 @@
             BudgetCase("older calls and repeats do not", 10, 7, at = 12, isAllowed = true),
         ) { case ->
             val empty = RepeatBudget(window = 10.seconds, ratio = 0.5)
-            val after = List(case.firsts) { false }.plus(List(case.repeats) { true })
-                .fold(empty) { budget, isRepeat -> budget.counted(0.seconds, isRepeat) }
+            val after = empty.counted(0.seconds, firsts = case.firsts)
+                .counted(0.seconds, repeats = case.repeats)
             after.allows(case.at.seconds, slack = 2.0) shouldBe case.isAllowed
         }
+
+        test("a repeat that is taken back does not count") {
+            val full = RepeatBudget(window = 10.seconds, ratio = 0.5)
+                .counted(0.seconds, firsts = 10, repeats = 5)
+            full.allows(1.seconds, slack = 0.0) shouldBe false
+            full.counted(1.seconds, repeats = -1).allows(1.seconds, slack = 0.0) shouldBe true
+        }
     })
