Take in an engine that answers at the address of another

A 421 names the id that has the address now. The node asks that engine which models it holds; if just one configured service has them and it is the service of the id before, the engine is taken in until the registry had 2.5 s to name it. Ids that have left are not taken in again; services without a model are not, since nothing but the registry tells them apart.

--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/http/CallerProtocol.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/http/CallerProtocol.kt
@@ -1,6 +1,8 @@
 package org.bilberrycart.gateway.http
 
 import org.bilberrycart.gateway.model.AnswerHead
+import org.bilberrycart.gateway.model.Body
+import org.bilberrycart.gateway.model.EngineReport
 import org.bilberrycart.gateway.model.Header
 import org.bilberrycart.gateway.model.Refusal
 import org.bilberrycart.gateway.placement.SendOrder
@@ -22,6 +24,9 @@
     /** Reads the head of an upstream's answer. */
     public fun readAnswer(status: Int, headers: List<Header>): AnswerHead
 
+    /** Reads what an engine says of itself; null if [body] is no such report. */
+    public fun readReport(body: Body): EngineReport?
+
     /** Returns how a caller is told of [refusal] of the call with [requestId]. */
     public fun ownAnswer(refusal: Refusal, requestId: String?): OwnAnswer
 }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/http/UpstreamClient.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/http/UpstreamClient.kt
@@ -4,11 +4,13 @@
 import java.nio.ByteBuffer
 import java.util.concurrent.CancellationException
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicReference
 import kotlin.time.Duration
 import org.bilberrycart.gateway.model.AnswerHead
 import org.bilberrycart.gateway.model.AttemptKey
 import org.bilberrycart.gateway.model.Body
+import org.bilberrycart.gateway.model.EngineReport
 import org.bilberrycart.gateway.model.Header
 import org.bilberrycart.gateway.model.RepeatRule
 import org.bilberrycart.gateway.model.UpstreamAnswer
@@ -21,6 +23,7 @@
 import org.eclipse.jetty.client.HttpClient
 import org.eclipse.jetty.client.Request
 import org.eclipse.jetty.client.Result
+import org.eclipse.jetty.http.HttpStatus
 
 /**
  * Sends calls to upstreams and reports what comes back.
@@ -66,7 +69,7 @@
     /** Asks [upstream] for a sign of life; a failure to answer within [limit] is one too. */
     fun probe(upstream: UpstreamEntry, limit: Duration) {
         client.newRequest(upstream.host, upstream.port).path(protocol.probeTarget)
-            .timeout(limit.inWholeMilliseconds, java.util.concurrent.TimeUnit.MILLISECONDS)
+            .timeout(limit.inWholeMilliseconds, TimeUnit.MILLISECONDS)
             .send(object : BufferingResponseListener(LONGEST_REPORT_BYTES) {
                 override fun onComplete(result: Result) {
                     val cause = result.failure?.brief() ?: contentAsString.orEmpty()
@@ -75,6 +78,18 @@
             })
     }
 
+    /** Asks the engine at the address of [upstream] what it is; [use] gets null if it doesn't say. */
+    fun identify(upstream: UpstreamEntry, limit: Duration, use: (EngineReport?) -> Unit) {
+        client.newRequest(upstream.host, upstream.port).path(protocol.probeTarget)
+            .timeout(limit.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+            .send(object : BufferingResponseListener(LONGEST_REPORT_BYTES) {
+                override fun onComplete(result: Result) {
+                    val isReport = result.isSucceeded && result.response.status == HttpStatus.OK_200
+                    use(content?.takeIf { isReport }?.let { protocol.readReport(Body(it)) })
+                }
+            })
+    }
+
     private inner class Sent(private val order: SendOrder, private val request: Request) {
         private val attempt = order.attempt
         private val demander = AtomicReference<Runnable?>()
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/model/ServingConfiguration.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/model/ServingConfiguration.kt
@@ -21,4 +21,9 @@
     public fun routeOf(host: String, path: String): RouteRule? =
         routes.filter { it.host == host && path.startsWith(it.prefix) }
             .maxByOrNull { it.prefix.length }
+
+    /** Returns the only service whose engines hold one of [models]; null if several do, or none. */
+    public fun serviceOf(models: Set<String>): ServiceName? = services.values
+        .filter { service -> service.engine?.models.orEmpty().any { it in models } }
+        .singleOrNull()?.name
 }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/model/UpstreamAnswer.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/model/UpstreamAnswer.kt
@@ -12,6 +12,7 @@
  * @property isSigned whether the answer carries the upstream's signature.
  * @property didNotRun whether the upstream states that it has not run the call.
  * @property isMisdirected whether the upstream is another one than the call was meant for.
+ * @property upstream the upstream that answers, if it says so.
  * @property isLast whether the upstream closes the connection behind this answer.
  */
 public data class AnswerHead(
@@ -22,6 +23,7 @@
     val didNotRun: Boolean,
     val isMisdirected: Boolean,
     val isLast: Boolean = false,
+    val upstream: UpstreamId? = null,
 ) {
     /** Whether the upstream did what was asked. */
     val isSuccess: Boolean
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DecisionLog.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DecisionLog.kt
@@ -83,6 +83,11 @@
             action.upstream.id.value,
             action.silentMillis,
         )
+        is PlacementAction.Identify -> log.info(
+            "event=upstream_asked_who upstream={} at_address_of={}",
+            action.id.value,
+            action.replaced.id.value,
+        )
         is PlacementAction.Believe -> log.info(
             "event=upstream_{} upstream={} why=\"{}\"",
             action.belief,
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/GatewayNode.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/GatewayNode.kt
@@ -83,6 +83,7 @@
             log,
             clock,
             probeLimit = placementSettings.probeTimeout * 2,
+            configuration = { entry.snapshot.configuration },
         ),
     )
     private val relay = Duty(
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/PlacementSink.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/PlacementSink.kt
@@ -4,8 +4,10 @@
 import org.bilberrycart.gateway.http.OpenExchanges
 import org.bilberrycart.gateway.http.UpstreamClient
 import org.bilberrycart.gateway.metrics.GatewayMetrics
+import org.bilberrycart.gateway.model.ServingConfiguration
 import org.bilberrycart.gateway.placement.CallState
 import org.bilberrycart.gateway.placement.PlacementAction
+import org.bilberrycart.gateway.placement.PlacementEvent
 import org.bilberrycart.gateway.relay.RelayEvent
 import org.bilberrycart.pipeline.Clock
 
@@ -18,6 +20,7 @@
     private val log: DecisionLog,
     private val clock: Clock,
     private val probeLimit: Duration,
+    private val configuration: () -> ServingConfiguration?,
 ) : (PlacementAction) -> Unit {
     override fun invoke(action: PlacementAction) {
         log.placement(action, clock.now())
@@ -37,11 +40,26 @@
             is PlacementAction.Abort -> stopStream(action.call, isAborted = true)
             is PlacementAction.Forget -> stopStream(action.call, isAborted = true)
             is PlacementAction.Probe -> upstreams.probe(action.upstream, probeLimit)
+            is PlacementAction.Identify -> identify(action)
             is PlacementAction.Believe, is PlacementAction.Resumed, is PlacementAction.Struck ->
                 Unit
         }
     }
 
+    private fun identify(action: PlacementAction.Identify) {
+        upstreams.identify(action.replaced, probeLimit) { report ->
+            val service = report?.let { configuration()?.serviceOf(it.models) }
+            rings.placement.put(
+                PlacementEvent.Identified(
+                    action.replaced.id,
+                    action.id,
+                    service,
+                    report?.bornMillis,
+                ),
+            )
+        }
+    }
+
     private fun stopStream(state: CallState, isAborted: Boolean) {
         rings.relay.put(RelayEvent.Stop(state.call.key, isAborted))
     }
@@ -61,6 +79,7 @@
         is PlacementAction.Forget -> ended(action.call, action.why.replace(' ', '_'))
         is PlacementAction.Believe -> metrics.believed("upstream", action.belief)
         is PlacementAction.Probe -> metrics.believed("upstream", "probed")
+        is PlacementAction.Identify -> metrics.believed("upstream", "asked_who")
         is PlacementAction.Resumed -> metrics.resumed(action.pause)
         is PlacementAction.Struck -> metrics.believed("call", "broke_off_at_start")
         is PlacementAction.Cancel -> Unit
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/Answers.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/Answers.kt
@@ -1,9 +1,10 @@
 package org.bilberrycart.gateway.placement
 
 import kotlin.time.Duration
-import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
 import org.bilberrycart.gateway.model.AttemptKey
 import org.bilberrycart.gateway.model.UpstreamAnswer
+import org.bilberrycart.gateway.model.UpstreamId
 import org.bilberrycart.pipeline.Step
 import org.bilberrycart.pipeline.then
 
@@ -21,7 +22,7 @@
         val isForeign = head.requestId != null && head.requestId != call.call.head.requestId
         return when {
             isForeign -> losses.broken(state, key, "answer to another call", now)
-            head.isMisdirected -> misdirected(state, call, attempt, now)
+            head.isMisdirected -> misdirected(state, call, attempt, head.upstream, now)
             head.didNotRun -> notRun(state, call, attempt, head.status, now)
             call.isOpen -> losses.broken(state, key, "status ${head.status} for a resume", now)
             head.isSuccess && head.isSigned ->
@@ -44,11 +45,15 @@
         state: PlacementState,
         call: CallState,
         attempt: Attempt,
+        present: UpstreamId?,
         now: Duration,
     ): Step<PlacementState, PlacementAction> {
         val next = state.update(attempt.upstream) { it.copy(isReplaced = true) }
-        val belief = PlacementAction.Believe(attempt.upstream, "replaced", "misdirected")
-        return Step(next, persistentListOf<PlacementAction>(belief))
+        val belief = PlacementAction.Believe(attempt.upstream, "replaced", "by ${present?.value}")
+        val question = state.upstreams[attempt.upstream]
+            ?.takeIf { !it.isReplaced && present != null && state.isNew(present) }
+            ?.let { PlacementAction.Identify(it.entry, present!!) }
+        return Step(next, listOfNotNull<PlacementAction>(belief, question).toPersistentList())
             .then { elsewhere(it, call, attempt, now, "misdirected") }
     }
 
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/CallState.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/CallState.kt
@@ -46,6 +46,6 @@
 
     private companion object {
         /** Sendings beyond the route's limit for those that certainly did not run. */
-        const val EXTRA_SENDINGS = 4
+        const val EXTRA_SENDINGS = 8
     }
 }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementAction.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementAction.kt
@@ -41,6 +41,10 @@
     public data class Probe(val upstream: UpstreamEntry, val silentMillis: Long) :
         PlacementAction()
 
+    /** Find out what service [id] has, which answered at the address of [replaced]. */
+    public data class Identify(val replaced: UpstreamEntry, val id: UpstreamId) :
+        PlacementAction()
+
     /** Say that the belief about an upstream has changed. */
     public data class Believe(val upstream: UpstreamId, val belief: String, val why: String) :
         PlacementAction()
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementEvent.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementEvent.kt
@@ -8,6 +8,7 @@
 import org.bilberrycart.gateway.model.CallFingerprint
 import org.bilberrycart.gateway.model.CallKey
 import org.bilberrycart.gateway.model.RoutedCall
+import org.bilberrycart.gateway.model.ServiceName
 import org.bilberrycart.gateway.model.UpstreamAnswer
 import org.bilberrycart.gateway.model.UpstreamEntry
 import org.bilberrycart.gateway.model.UpstreamId
@@ -61,6 +62,14 @@
         val nodes: Int = 1,
     ) : PlacementEvent()
 
+    /** At the address of [replaced] there is now [id], which serves [service] if that is known. */
+    public data class Identified(
+        val replaced: UpstreamId,
+        val id: UpstreamId,
+        val service: ServiceName?,
+        val bornMillis: Long?,
+    ) : PlacementEvent()
+
     /** Time has passed. */
     public data object Tick : PlacementEvent()
 }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementFilter.kt
@@ -1,11 +1,9 @@
 package org.bilberrycart.gateway.placement
 
 import kotlin.time.Duration
-import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.toPersistentList
 import org.bilberrycart.gateway.model.AttemptKey
 import org.bilberrycart.gateway.model.CallFingerprint
-import org.bilberrycart.gateway.model.UpstreamEntry
 import org.bilberrycart.pipeline.Filter
 import org.bilberrycart.pipeline.Step
 import org.bilberrycart.pipeline.then
@@ -34,10 +32,11 @@
         is PlacementEvent.StreamOpened -> moved(state, event.attempt, now, hasEvents = false)
         is PlacementEvent.StreamMoved -> moved(state, event.attempt, now, hasEvents = true)
         is PlacementEvent.StreamEnded -> ended(state, event.attempt, now)
-        is PlacementEvent.Registered -> registered(state, event.entries)
+        is PlacementEvent.Registered -> Registry.registered(state, event.entries, now)
+        is PlacementEvent.Identified -> Registry.identified(state, event)
         is PlacementEvent.Probed -> probed(state, event, now)
         is PlacementEvent.LoadElsewhere -> Step(elsewhere(told(state, event), event, now))
-        PlacementEvent.Tick -> ticks.tick(state, now)
+        PlacementEvent.Tick -> Registry.expired(state, now).then { ticks.tick(it, now) }
     }
 
     /** Notes that an upstream broke off before any sign of an answer. */
@@ -123,54 +122,4 @@
             else -> next.with(heard)
         }
     }
-
-    private fun registered(
-        state: PlacementState,
-        entries: PersistentList<UpstreamEntry>,
-    ): Step<PlacementState, PlacementAction> {
-        val listed = entries.associateBy { it.id }
-        val gone = state.upstreams.values.filter { it.entry.id !in listed }
-        val merged = entries.fold(state) { next, entry ->
-            val known = state.upstreams[entry.id]
-            when {
-                known == null || known.entry.bornMillis != entry.bornMillis ->
-                    next.with(renewed(entry, known))
-                known.entry != entry -> next.with(known.copy(entry = entry))
-                else -> next
-            }
-        }
-        val without = gone.fold(merged) { next, view ->
-            when {
-                view.isUnused ->
-                    next.copy(upstreams = next.upstreams.remove(view.entry.id))
-                else -> next.with(view.copy(entry = view.entry.copy(isLeaving = true)))
-            }
-        }
-        return Step(without, beliefs(state, entries, gone))
-    }
-
-    private fun renewed(entry: UpstreamEntry, known: UpstreamView?): UpstreamView =
-        UpstreamView(entry, running = known?.running ?: 0, copies = known?.copies ?: 0)
-
-    private fun beliefs(
-        state: PlacementState,
-        entries: PersistentList<UpstreamEntry>,
-        gone: List<UpstreamView>,
-    ): PersistentList<PlacementAction> {
-        val changed = entries.mapNotNull { entry ->
-            val known = state.upstreams[entry.id]?.entry
-            when {
-                known == null -> PlacementAction.Believe(entry.id, "listed", entry.toString())
-                known.bornMillis != entry.bornMillis ->
-                    PlacementAction.Believe(entry.id, "restarted", entry.toString())
-                !known.isLeaving && entry.isLeaving ->
-                    PlacementAction.Believe(entry.id, "leaving", "registry")
-                else -> null
-            }
-        }
-        return (
-            changed + gone.filter { !it.entry.isLeaving || it.isUnused }
-                .map { PlacementAction.Believe(it.entry.id, "gone", "registry") }
-            ).toPersistentList()
-    }
 }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementState.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementState.kt
@@ -1,6 +1,8 @@
 package org.bilberrycart.gateway.placement
 
+import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
 import org.bilberrycart.gateway.model.CallKey
 import org.bilberrycart.gateway.model.ServiceName
@@ -10,6 +12,7 @@
  * Everything that placement knows: upstreams, calls under way and the use of the budget.
  *
  * @property crashes calls that upstreams broke off when they began them.
+ * @property former upstreams that have left, the latest last.
  * @property nodes how many nodes share the repeat budget; null before any other was heard.
  */
 public data class PlacementState(
@@ -17,6 +20,7 @@
     val calls: PersistentMap<CallKey, CallState> = persistentMapOf(),
     val budgets: PersistentMap<ServiceName, RepeatBudget> = persistentMapOf(),
     val crashes: CrashBook = CrashBook(),
+    val former: PersistentList<UpstreamId> = persistentListOf(),
     val nodes: Int? = null,
     val seed: Long = 1,
 ) {
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/UpstreamView.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/UpstreamView.kt
@@ -15,6 +15,8 @@
  * @property downUntil until when it gets no work; null while it is believed up.
  * @property failures losses since it last answered.
  * @property failureWeight recent failed answers, halved every [FAILURE_HALF_LIFE_SECONDS].
+ * @property isAdopted whether it was met at another's address and is not yet in the registry.
+ * @property missingSince since when the registry could have named an adopted one and did not.
  * @property isReplaced whether its address answered as another upstream.
  * @property probeSentAt when an unanswered probe was sent.
  */
@@ -28,6 +30,8 @@
     val failures: Int = 0,
     val failureWeight: Double = 0.0,
     val failedAt: Duration = Duration.ZERO,
+    val isAdopted: Boolean = false,
+    val missingSince: Duration? = null,
     val isReplaced: Boolean = false,
     val probeSentAt: Duration? = null,
     val probedAt: Duration? = null,
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/PlacementRun.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/PlacementRun.kt
@@ -49,6 +49,7 @@
         is PlacementAction.Forget -> "forget"
         is PlacementAction.Resumed -> "resumed ${action.pause.inWholeMilliseconds}"
         is PlacementAction.Probe -> "probe ${action.upstream.id.value}"
+        is PlacementAction.Identify -> "identify ${action.id.value}"
         is PlacementAction.Believe -> action.belief
         is PlacementAction.Struck -> "struck ${action.strikes}"
     }
