Keep prompts apart: weigh them as four runs, and give each node its own engines

A prompt weighed as two running generations, so a busy engine without a prompt lost against one with a prompt; and nodes that lost a zone at the same moment drew from the same few engines.

Now a prompt weighs as four, in the own load and in what peers are told, and of engines with like loads a node takes those of its own share (rendezvous hash over the nodes heard).

--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/PeerLinks.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/PeerLinks.kt
@@ -19,6 +19,7 @@
 import org.bilberrycart.gateway.peers.PeersFilter
 import org.bilberrycart.gateway.peers.PeersState
 import org.bilberrycart.gateway.peers.TableCopy
+import org.bilberrycart.gateway.placement.NodeShare
 import org.bilberrycart.gateway.placement.PlacementEvent
 import org.bilberrycart.gateway.placement.PlacementState
 import org.bilberrycart.pipeline.Clock
@@ -122,7 +123,7 @@
         strikes = action.told.strikes.entries.associate { (content, upstreams) ->
             CallFingerprint(content) to upstreams.map(::UpstreamId).toSet()
         }.toPersistentMap(),
-        nodes = action.peers + 1,
+        share = NodeShare(self, action.peers),
     )
 
     private companion object {
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeersAction.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeersAction.kt
@@ -5,8 +5,8 @@
     /** Send [news] to each of [addresses]. */
     public data class Tell(val addresses: List<String>, val news: PeerNews) : PeersAction()
 
-    /** What the other nodes say together, and how many they are. */
-    public data class Elsewhere(val told: ToldElsewhere, val peers: Int) : PeersAction()
+    /** What [peers] say together. */
+    public data class Elsewhere(val told: ToldElsewhere, val peers: Set<String>) : PeersAction()
 
     /** The peer at [address] knows its tables up to these versions. */
     public data class Tables(val address: String, val versions: Map<String, Long>) : PeersAction()
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeersFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeersFilter.kt
@@ -137,10 +137,15 @@
             strikes = news.flatMap { it.strikes.entries }
                 .groupingBy { it.key }.fold(emptySet()) { ids, entry -> ids + entry.value },
         )
-        if (told == state.elsewhere && state.lost.isEmpty()) return Step(state)
+        val isSame = told == state.elsewhere && state.lost.isEmpty()
+        if (isSame && state.peers.keys == state.elsewhereOf) return Step(state)
         val lost = state.lost.mapValues { (now - it.value).inWholeMilliseconds.toInt() }
-        return state.copy(elsewhere = told, elsewhereAt = now, lost = persistentMapOf())
-            .withActions(PeersAction.Elsewhere(told.copy(lost = lost), news.size))
+        return state.copy(
+            elsewhere = told,
+            elsewhereOf = state.peers.keys,
+            elsewhereAt = now,
+            lost = persistentMapOf(),
+        ).withActions(PeersAction.Elsewhere(told.copy(lost = lost), state.peers.keys))
     }
 
     private fun List<String>.shuffledBy(number: Long): List<String> {
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeersState.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeersState.kt
@@ -12,6 +12,7 @@
  * @property candidates addresses at which peers may be.
  * @property told what was last sent, without its number.
  * @property elsewhere what was last reported to placement, without losses.
+ * @property elsewhereOf the peers that said so.
  * @property lost when peers lost upstreams, as far as placement was not yet told.
  */
 public data class PeersState(
@@ -24,6 +25,7 @@
     val toldAt: Duration = Duration.ZERO,
     val soughtAt: Duration = Duration.ZERO,
     val elsewhere: ToldElsewhere = ToldElsewhere(),
+    val elsewhereOf: Set<String> = emptySet(),
     val elsewhereAt: Duration = Duration.ZERO,
     val lost: PersistentMap<String, Duration> = persistentMapOf(),
 )
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/CallState.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/CallState.kt
@@ -5,6 +5,7 @@
 import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.persistentSetOf
+import org.bilberrycart.gateway.model.RepeatRule
 import org.bilberrycart.gateway.model.RoutedCall
 import org.bilberrycart.gateway.model.UpstreamAnswer
 import org.bilberrycart.gateway.model.UpstreamId
@@ -44,7 +45,20 @@
     public val hasAttemptsLeft: Boolean
         get() = runs < call.route.maxAttempts && sendings < call.route.maxAttempts + EXTRA_SENDINGS
 
+    /**
+     * Returns how much work [attempt] is: a prompt that is read holds up all that comes behind it
+     * and slows what runs beside it.
+     */
+    public fun loadOf(attempt: Attempt): Int = when (call.route.repeat) {
+        is RepeatRule.Stream -> if (attempt.hasEvents) RUNNING_LOAD else PROMPT_LOAD
+        RepeatRule.Idempotent, RepeatRule.Once -> CALL_LOAD
+    }
+
     private companion object {
+        const val RUNNING_LOAD = 1
+        const val PROMPT_LOAD = 4
+        const val CALL_LOAD = 2
+
         /** Sendings beyond the route's limit for those that certainly did not run. */
         const val EXTRA_SENDINGS = 8
     }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/Chooser.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/Chooser.kt
@@ -10,8 +10,7 @@
 /** Chooses upstreams for calls and for copies of their memory: the least loaded usable one. */
 internal class Chooser(private val state: PlacementState, private val now: Duration) {
     private val random = Random(state.seed)
-    private val starting = state.calls.values.flatMap { it.attempts.values }
-        .filterNot { it.hasEvents }.groupingBy { it.upstream }.eachCount()
+    private val loads = state.loads()
 
     /** The seed to go on with. */
     val nextSeed: Long
@@ -21,7 +20,7 @@
     fun choose(call: CallState): UpstreamView? {
         val usable = usable(call.call)
         val fresh = usable.filterNot { it.entry.id in call.tried }
-        return best(fresh.ifEmpty { usable })
+        return best(fresh.ifEmpty { usable }, isEngine = call.call.service.engine != null)
     }
 
     /** Returns the upstream to keep the copy of a run at [main], in another data centre if any. */
@@ -29,7 +28,7 @@
         if (call.service.engine?.keepsBackups != true) return null
         val others = usable(call).filterNot { it.entry.id == main.entry.id }
         val apart = others.filterNot { it.entry.dataCentre == main.entry.dataCentre }
-        return best(apart.ifEmpty { others })
+        return best(apart.ifEmpty { others }, isEngine = true)
     }
 
     /** Returns the holder of [copy] if it may get work. */
@@ -40,12 +39,16 @@
         it.entry.service == call.service.name && it.isUsable(now)
     }
 
-    private fun best(views: List<UpstreamView>): UpstreamView? =
-        views.minByOrNull { load(it) + random.nextDouble() * TIE_SPREAD }
+    private fun best(views: List<UpstreamView>, isEngine: Boolean): UpstreamView? =
+        views.minByOrNull { view ->
+            val isForeign = isEngine && !state.share.has(view.entry.id)
+            val preference = if (isForeign) FOREIGN_LOAD else 0.0
+            load(view) + preference + random.nextDouble() * TIE_SPREAD
+        }
 
     private fun load(view: UpstreamView): Double {
         val isDoubtful = view.failures > 0 || now - view.failedAt < DOUBT && view.failedAt > ZERO
-        return view.running + (starting[view.entry.id] ?: 0) +
+        return (loads[view.entry.id] ?: 0) +
             view.elsewhere + view.copies * COPY_LOAD +
             view.failureWeightAt(now) + if (isDoubtful) DOUBT_LOAD else 0.0
     }
@@ -57,6 +60,9 @@
         /** Attempts that a recent loss weighs as much as. */
         const val DOUBT_LOAD = 3.0
 
+        /** Engines that other nodes prefer are taken when the own ones have more than this to do. */
+        const val FOREIGN_LOAD = 0.6
+
         /** Differences of load below this are left to chance, so that nodes do not herd. */
         const val TIE_SPREAD = 0.5
         val DOUBT = 1.seconds
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementEvent.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementEvent.kt
@@ -53,13 +53,13 @@
      * @property loads their work at each upstream.
      * @property lost how long ago they lost each of these.
      * @property strikes upstreams that broke off when they began a call, by its content.
-     * @property nodes how many nodes there are, with this one.
+     * @property share this node and those that it heard.
      */
     public data class LoadElsewhere(
         val loads: PersistentMap<UpstreamId, Int>,
         val lost: PersistentMap<UpstreamId, Duration>,
         val strikes: PersistentMap<CallFingerprint, Set<UpstreamId>> = persistentMapOf(),
-        val nodes: Int = 1,
+        val share: NodeShare = NodeShare(),
     ) : PlacementEvent()
 
     /** At the address of [replaced] there is now [id], which serves [service] if that is known. */
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementFilter.kt
@@ -56,7 +56,8 @@
     private fun told(state: PlacementState, event: PlacementEvent.LoadElsewhere): PlacementState =
         state.copy(
             crashes = state.crashes.copy(told = event.strikes),
-            nodes = maxOf(event.nodes, state.nodes ?: 1),
+            share = event.share,
+            nodes = maxOf(event.share.peers.size + 1, state.nodes ?: 1),
         )
 
     private fun moved(
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementState.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementState.kt
@@ -13,6 +13,7 @@
  *
  * @property crashes calls that upstreams broke off when they began them.
  * @property former upstreams that have left, the latest last.
+ * @property share the upstreams that this node prefers, so that others choose other ones.
  * @property nodes how many nodes share the repeat budget; null before any other was heard.
  */
 public data class PlacementState(
@@ -21,14 +22,14 @@
     val budgets: PersistentMap<ServiceName, RepeatBudget> = persistentMapOf(),
     val crashes: CrashBook = CrashBook(),
     val former: PersistentList<UpstreamId> = persistentListOf(),
+    val share: NodeShare = NodeShare(),
     val nodes: Int? = null,
     val seed: Long = 1,
 ) {
-    /** The work of this node at each upstream: attempts, twice those without an event. */
-    public fun loads(): Map<UpstreamId, Int> = calls.values.flatMap { it.attempts.values }
-        .groupingBy {
-            it.upstream
-        }.fold(0) { sum, attempt -> sum + if (attempt.hasEvents) 1 else 2 }
+    /** The work of this node at each upstream, as [CallState.loadOf] weighs it. */
+    public fun loads(): Map<UpstreamId, Int> = calls.values
+        .flatMap { call -> call.attempts.values.map { it.upstream to call.loadOf(it) } }
+        .groupingBy { it.first }.fold(0) { sum, (_, load) -> sum + load }
 
     internal fun with(view: UpstreamView): PlacementState =
         copy(upstreams = upstreams.put(view.entry.id, view))
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/peers/PeersFilterTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/peers/PeersFilterTest.kt
@@ -44,7 +44,7 @@
         fun tell(action: PeersAction): String = when (action) {
             is PeersAction.Tell -> "tell ${action.addresses.joinToString("+")} ${action.news.loads}"
             is PeersAction.Elsewhere -> listOfNotNull(
-                "elsewhere ${action.told.loads} of ${action.peers}",
+                "elsewhere ${action.told.loads} of ${action.peers.size}",
                 action.told.lost.takeIf { it.isNotEmpty() }?.let { "lost $it" },
                 action.told.strikes.takeIf { it.isNotEmpty() }?.let { "strikes $it" },
             ).joinToString(" ")
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/CrashBookTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/CrashBookTest.kt
@@ -200,5 +200,6 @@
 /** A run with enough upstreams, and with the few nodes among which the repeat budget is shared. */
 private fun runWithNodes(): PlacementRun = PlacementRun().apply {
     register("a", "b", "c", "d", "e", "f")
-    step(PlacementEvent.LoadElsewhere(persistentMapOf(), persistentMapOf(), nodes = 4))
+    val share = NodeShare("me", setOf("x", "y", "z"))
+    step(PlacementEvent.LoadElsewhere(persistentMapOf(), persistentMapOf(), share = share))
 }
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/PlacementRun.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/PlacementRun.kt
@@ -8,9 +8,9 @@
 import org.bilberrycart.gateway.model.Refusal
 
 /** Steps the placement filter and tells its actions in short words. */
-class PlacementRun(settings: PlacementSettings = PlacementSettings()) {
+class PlacementRun(settings: PlacementSettings = PlacementSettings(), seed: Long = 1) {
     private val filter = PlacementFilter(settings)
-    var state = PlacementState()
+    var state = PlacementState(seed = seed)
         private set
     var now: Duration = Duration.ZERO
 
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/RegistryTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/RegistryTest.kt
@@ -142,8 +142,16 @@
                     present = "n",
                     actions = listOf("identify n", "send"),
                 ),
-                QuestionCase("is not asked if it says no name", present = null, actions = listOf("send")),
-                QuestionCase("is not asked if it is known", present = "b", actions = listOf("send")),
+                QuestionCase(
+                    "is not asked if it says no name",
+                    present = null,
+                    actions = listOf("send"),
+                ),
+                QuestionCase(
+                    "is not asked if it is known",
+                    present = "b",
+                    actions = listOf("send"),
+                ),
                 QuestionCase(
                     "is not asked if it has left",
                     former = true,
