--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DecisionLog.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DecisionLog.kt
@@ -1,5 +1,6 @@
 package org.bilberrycart.gateway.node
 
+import java.util.Locale
 import kotlin.time.Duration
 import org.bilberrycart.gateway.discovery.DiscoveryAction
 import org.bilberrycart.gateway.entry.EntryAction
@@ -149,7 +150,7 @@
 
     private fun sent(order: SendOrder, why: String) = log.info(
         "event=sent request={} call={} attempt={} upstream={} backup={} copy={} left_ms={} " +
-            "why=\"{}\"",
+            "load={} usable={} why=\"{}\"",
         order.call.head.requestId,
         order.attempt.call.number,
         order.attempt.number,
@@ -157,6 +158,8 @@
         order.backup?.id?.value,
         order.resumesFrom?.run,
         order.timeLeft.inWholeMilliseconds,
+        "%.1f".format(Locale.ROOT, order.load),
+        order.usable,
         why,
     )
 
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeersFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeersFilter.kt
@@ -161,7 +161,7 @@
 
         /** Many peers hear less often, but at least twice within [SILENCE] up to fifty of them. */
         val LONGER_PAUSE_PER_PEER = 14.milliseconds
-        val ELSEWHERE_INTERVAL = 40.milliseconds
+        val ELSEWHERE_INTERVAL = 20.milliseconds
         val SEEK_INTERVAL = 1.seconds
         const val MAX_MEMBERS = 16
         const val MAX_SOUGHT = 4
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/Chooser.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/Chooser.kt
@@ -35,7 +35,8 @@
     fun holder(copy: MemoryCopy?): UpstreamView? =
         copy?.let { state.upstreams[it.holder] }?.takeIf { it.isUp(now) }
 
-    private fun usable(call: RoutedCall): List<UpstreamView> = state.upstreams.values.filter {
+    /** Returns the upstreams that may get [call]. */
+    fun usable(call: RoutedCall): List<UpstreamView> = state.upstreams.values.filter {
         it.entry.service == call.service.name && it.isUsable(now)
     }
 
@@ -46,7 +47,8 @@
             load(view) + preference + random.nextDouble() * TIE_SPREAD
         }
 
-    private fun load(view: UpstreamView): Double {
+    /** Returns how much work [view] is believed to have, and how much it is doubted. */
+    fun load(view: UpstreamView): Double {
         val isDoubtful = view.failures > 0 || now - view.failedAt < DOUBT && view.failedAt > ZERO
         return (loads[view.entry.id] ?: 0) +
             view.elsewhere + view.copies * COPY_LOAD +
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/Placing.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/Placing.kt
@@ -101,6 +101,8 @@
             timeLeft = call.call.endsAt - now,
             backup = backup?.entry,
             resumesFrom = call.copy.takeIf { holder != null },
+            load = chooser.load(main),
+            usable = chooser.usable(call.call).size,
             isUrgent = call.isOpen,
         )
         val sent = call.copy(
