--- a/library/src/main/kotlin/org/bilberrycart/store/HttpTableClient.kt
+++ b/library/src/main/kotlin/org/bilberrycart/store/HttpTableClient.kt
@@ -15,8 +15,8 @@
 /**
  * [TableClient] over HTTP.
  *
- * The header `Not-Executed` is the platform's word that a refused call had no effect. A transaction
- * that fails in any other way after its first byte was written may have been applied.
+ * The header [NO_EFFECT] says that a refused call had no effect. A transaction that fails in any
+ * other way after its first byte was written may have been applied.
  *
  * @property origin the scheme, address and port of the platform, such as `http://10.0.0.5:8080`.
  */
@@ -90,18 +90,22 @@
                 .getOrElse { StoreReply.Failed(StoreFailure.BROKEN, true) }
             else -> StoreReply.Failed(
                 failure = if (status == OVER_RATE) StoreFailure.OVER_RATE else StoreFailure.REFUSED,
-                mayHaveApplied = result.response.headers["Not-Executed"] == null,
+                mayHaveApplied = result.response.headers[NO_EFFECT] == null,
             )
         }
     }
 
-    private companion object {
-        const val OK = 200
-        const val NOT_FOUND = 404
-        const val OVER_RATE = 429
-        const val MAX_CONNECTIONS = 32
-        const val MAX_ANSWER_BYTES = 16 * 1024 * 1024
-        val MAX_IDLE = 10.seconds
-        val CONNECT_TIMEOUT = 1.seconds
+    /** The names that the client and the table share. */
+    public companion object {
+        /** The header of a refused call that had no effect. */
+        public const val NO_EFFECT: String = "No-Effect"
+
+        private const val OK = 200
+        private const val NOT_FOUND = 404
+        private const val OVER_RATE = 429
+        private const val MAX_CONNECTIONS = 32
+        private const val MAX_ANSWER_BYTES = 16 * 1024 * 1024
+        private val MAX_IDLE = 10.seconds
+        private val CONNECT_TIMEOUT = 1.seconds
     }
 }
--- a/standins/src/main/kotlin/org/bilberrycart/standins/platform/PlatformRoutes.kt
+++ b/standins/src/main/kotlin/org/bilberrycart/standins/platform/PlatformRoutes.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.encodeToString
 import kotlinx.serialization.json.Json
+import org.bilberrycart.store.HttpTableClient
 import org.http4k.core.HttpHandler
 import org.http4k.core.Method.DELETE
 import org.http4k.core.Method.GET
@@ -80,7 +81,7 @@
     }
 
     private fun notExecuted(status: Status): Response =
-        Response(status).header("Not-Executed", "true")
+        Response(status).header(HttpTableClient.NO_EFFECT, "true")
 
     private fun ok(body: String): Response =
         Response(Status.OK).header("Content-Type", "application/json").body(body)
