Keep callers' connections open, order closes behind requests, never complete a broken stream

Each request now has its own watch, which ends in a stream wrapper just before Jetty completes the request; reads go through one lock, so bytes keep their order. - A caller's close went to placement directly and could overtake its request in the entry ring; placement ignored it and sent the request on for nobody (GONE). It now passes the entry ring. Likewise a cancel went to the HTTP client directly and could overtake the dispatch, which passes the relay's ring; it now passes that ring too. - A refusal of a stream that had begun was written as its last chunk, so the broken stream looked complete. Placement forgot that a stream was open when its attempt had been given up before the relay's report came; it now notes that, and CallerExchange aborts instead of answering once an answer is open. - A signed success without a request id was taken as the call's own (LateAnswerTest). - Bytes that never form an event were kept without limit; 256 KiB break the attempt.

--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/entry/EntryAction.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/entry/EntryAction.kt
@@ -11,6 +11,9 @@
     /** Passes [call] to placement; [version] is the version of the configuration that routed it. */
     public data class Forward(val call: RoutedCall, val version: Long) : EntryAction()
 
+    /** Tells placement, after it has received the call, that its caller has closed. */
+    public data class ReportGone(val key: CallKey) : EntryAction()
+
     /**
      * Answers the caller with [refusal]; [version] is the version of the configuration in force,
      * or null if none has been received.
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/entry/EntryEvent.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/entry/EntryEvent.kt
@@ -16,6 +16,9 @@
         val arrivedAt: Duration,
     ) : EntryEvent()
 
+    /** The caller of an accepted request closed its connection before its answer was complete. */
+    public data class CallerGone(val key: CallKey) : EntryEvent()
+
     /** From now on only the requests that [intake] allows are accepted. */
     public data class IntakeLimited(val intake: RequestIntake) : EntryEvent()
 
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/entry/EntryFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/entry/EntryFilter.kt
@@ -27,6 +27,7 @@
         is EntryEvent.Configured -> configured(state, event.configuration)
         is EntryEvent.IntakeLimited -> Step(state.copy(intake = event.intake))
         is EntryEvent.Received -> received(state, event)
+        is EntryEvent.CallerGone -> state.withActions(EntryAction.ReportGone(event.key))
     }
 
     private fun configured(
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/http/CallerExchange.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/http/CallerExchange.kt
@@ -1,6 +1,8 @@
 package org.bilberrycart.gateway.http
 
 import java.nio.ByteBuffer
+import java.util.concurrent.locks.ReentrantLock
+import kotlin.concurrent.withLock
 import org.bilberrycart.gateway.model.Body
 import org.bilberrycart.gateway.model.Header
 import org.eclipse.jetty.io.EofException
@@ -19,18 +21,26 @@
     private val callback: Callback,
     private val shouldClose: () -> Boolean,
 ) {
-    private val lock = Any()
+    private val lock = ReentrantLock()
+    private var isOpen = false
     private var isWriting = false
     private var isFinished = false
     private var queue: List<Chunk> = emptyList()
 
     private class Chunk(val bytes: ByteArray, val isLast: Boolean, val onReady: () -> Unit)
 
-    /** Sets the status and headers of the answer, which are sent with its first bytes. */
-    fun open(status: Int, headers: List<Header>) {
+    /**
+     * Sets the status and headers of the answer, which are sent with its first bytes.
+     *
+     * Returns false and changes nothing if the answer was opened before.
+     */
+    fun open(status: Int, headers: List<Header>): Boolean = lock.withLock {
+        if (isOpen) return false
+        isOpen = true
         response.status = status
         headers.forEach { response.headers.add(it.name, it.value) }
         if (shouldClose()) response.headers.put("Connection", "close")
+        true
     }
 
     /** Writes [body] and calls [onReady] once it is written and more can be sent. */
@@ -39,22 +49,26 @@
     /** Writes [body] as the last part of the answer. */
     fun complete(body: Body = Body.EMPTY) = enqueue(Chunk(body.bytes, true) {})
 
-    /** Sends a complete answer. */
+    /**
+     * Sends a complete answer.
+     *
+     * If a streamed answer was opened before, it is aborted instead: the end of the other answer
+     * would make it look complete.
+     */
     fun answer(status: Int, headers: List<Header>, body: Body) {
-        open(status, headers)
-        complete(body)
+        if (open(status, headers)) complete(body) else abort("a stream had begun")
     }
 
     /** Aborts the answer by closing the connection; [why] is passed to Jetty as the failure. */
     fun abort(why: String) {
-        val isFirstEnd = synchronized(lock) { !isFinished.also { isFinished = true } }
+        val isFirstEnd = lock.withLock { !isFinished.also { isFinished = true } }
         if (!isFirstEnd) return
         request.connectionMetaData.connection.endPoint.close()
         callback.failed(EofException(why))
     }
 
     private fun enqueue(chunk: Chunk) {
-        val isIdle = synchronized(lock) {
+        val isIdle = lock.withLock {
             if (isFinished) return
             if (isWriting) queue = queue + chunk
             !isWriting.also { isWriting = true }
@@ -74,7 +88,7 @@
             return
         }
         chunk.onReady()
-        val next = synchronized(lock) {
+        val next = lock.withLock {
             val next = queue.firstOrNull()
             queue = queue.drop(1)
             if (next == null) isWriting = false
@@ -84,12 +98,12 @@
     }
 
     private fun finish() {
-        val isFirstEnd = synchronized(lock) { !isFinished.also { isFinished = true } }
+        val isFirstEnd = lock.withLock { !isFinished.also { isFinished = true } }
         if (isFirstEnd) callback.succeeded()
     }
 
     private fun onWriteFailed(cause: Throwable) {
-        val isFirstEnd = synchronized(lock) { !isFinished.also { isFinished = true } }
+        val isFirstEnd = lock.withLock { !isFinished.also { isFinished = true } }
         if (isFirstEnd) callback.failed(cause)
     }
 }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/http/CallerHandler.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/http/CallerHandler.kt
@@ -71,11 +71,12 @@
 
     private fun submit(request: Request, exchange: CallerExchange, event: EntryEvent.Received) {
         exchanges.add(event.key, exchange)
-        val endPoint = request.connectionMetaData.connection.endPoint
+        val watch = CloseWatch.prepare(request) {
+            if (exchanges.isOpen(event.key)) onCallerGone(event.key)
+        }
+        // The watch begins after the offer, so that the close follows the request into the ring.
         if (offerRequest(event)) {
-            (endPoint as? CloseWatch)?.watch {
-                if (exchanges.isOpen(event.key)) onCallerGone(event.key)
-            }
+            watch?.begin()
         } else {
             exchanges.refuse(
                 event.key,
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/http/CloseWatch.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/http/CloseWatch.kt
@@ -1,10 +1,15 @@
 package org.bilberrycart.gateway.http
 
+import java.io.IOException
 import java.nio.ByteBuffer
 import java.nio.channels.SelectionKey
 import java.nio.channels.SocketChannel
+import java.util.concurrent.locks.ReentrantLock
+import kotlin.concurrent.withLock
 import org.eclipse.jetty.io.ManagedSelector
 import org.eclipse.jetty.io.SocketChannelEndPoint
+import org.eclipse.jetty.server.HttpStream
+import org.eclipse.jetty.server.Request
 import org.eclipse.jetty.util.BufferUtil
 import org.eclipse.jetty.util.Callback
 import org.eclipse.jetty.util.thread.Invocable
@@ -13,8 +18,9 @@
 /**
  * The endpoint of a caller's connection, which detects that the caller closes it during a request.
  *
- * Jetty reads nothing while it handles a request. After [watch], this endpoint waits for input
- * itself. Bytes of a following request that arrive meanwhile are buffered until Jetty reads.
+ * Jetty reads nothing while it handles a request. From [Watch.begin] until the answer is complete,
+ * this endpoint waits for input itself. Bytes of a following request that arrive meanwhile are
+ * buffered until Jetty reads.
  */
 internal class CloseWatch(
     channel: SocketChannel,
@@ -22,116 +28,111 @@
     key: SelectionKey,
     scheduler: Scheduler,
 ) : SocketChannelEndPoint(channel, selector, key, scheduler) {
-    private val lock = Any()
-    private var onClose: (() -> Unit)? = null
-    private var isWatching = false
-    private var pendingRead: Callback? = null
+    /** Guards the state of watches and each read, so that bytes keep their order. */
+    private val lock = ReentrantLock()
     private var earlyBytes: ByteBuffer? = null
 
-    /** Calls [onClose] once if the caller closes its side before Jetty reads the next request. */
-    fun watch(onClose: () -> Unit) {
-        val mustRegister = beginWatch(onClose)
-        if (mustRegister && !super.tryFillInterested(ReadableCallback())) endWatch()
-    }
-
     override fun fillInterested(callback: Callback) {
-        when (prepareRead(callback)) {
-            ReadPreparation.BYTES_AVAILABLE -> callback.succeeded()
-            ReadPreparation.INTEREST_REGISTERED -> Unit
-            ReadPreparation.NOT_WATCHING -> super.fillInterested(callback)
-        }
+        if (hasEarlyBytes()) callback.succeeded() else super.fillInterested(callback)
     }
 
-    override fun tryFillInterested(callback: Callback): Boolean = when (prepareRead(callback)) {
-        ReadPreparation.BYTES_AVAILABLE -> {
+    override fun tryFillInterested(callback: Callback): Boolean = when {
+        hasEarlyBytes() -> {
             callback.succeeded()
             true
         }
-        ReadPreparation.INTEREST_REGISTERED -> true
-        ReadPreparation.NOT_WATCHING -> super.tryFillInterested(callback)
+        else -> super.tryFillInterested(callback)
     }
 
-    override fun fill(buffer: ByteBuffer): Int {
-        val kept = takeEarlyBytes() ?: return super.fill(buffer)
+    override fun fill(buffer: ByteBuffer): Int = lock.withLock {
+        val kept = earlyBytes ?: return super.fill(buffer)
         val moved = BufferUtil.append(buffer, kept)
-        if (kept.hasRemaining()) keepEarlyBytes(kept)
-        return moved
-    }
-
-    private fun onReadable() {
-        val callback = endWatch()
-        if (callback != null) callback.succeeded() else readEarlyBytes()
+        if (!kept.hasRemaining()) earlyBytes = null
+        moved
     }
 
-    private fun readEarlyBytes() {
-        val buffer = BufferUtil.allocate(EARLY_READ_BYTES)
-        val count = try {
-            super.fill(buffer)
-        } catch (e: java.io.IOException) {
-            END_OF_INPUT
-        }
-        when {
-            count < 0 -> takeOnClose()?.invoke()
-            count > 0 -> keepEarlyBytes(buffer)
-            else -> takeOnClose()?.let { watch(it) }
-        }
-    }
-
-    private fun onReadFailed(cause: Throwable) {
-        val callback = endWatch()
-        if (callback != null) callback.failed(cause) else takeOnClose()?.invoke()
-    }
+    private fun hasEarlyBytes(): Boolean = lock.withLock { earlyBytes != null }
 
-    private fun beginWatch(callback: () -> Unit): Boolean = synchronized(lock) {
-        onClose = callback
-        val mustRegister = !isWatching && earlyBytes == null
-        if (mustRegister) isWatching = true
-        mustRegister
+    private fun begin(watch: Watch) {
+        val mustRegister = lock.withLock { watch.isActive && earlyBytes == null }
+        if (mustRegister) super.tryFillInterested(watch)
     }
 
-    private fun endWatch(): Callback? = synchronized(lock) {
-        isWatching = false
-        pendingRead.also { pendingRead = null }
+    /** Ends [watch] and withdraws its interest in input, which Jetty would take for its own. */
+    private fun end(watch: Watch) {
+        if (watch.deactivate() && isFillInterested) fillInterest.fillable()
     }
 
-    private fun prepareRead(callback: Callback): ReadPreparation = synchronized(lock) {
-        onClose = null
+    private fun onReadable(watch: Watch) {
+        val count = lock.withLock { if (watch.isActive) readEarlyBytes() else return }
         when {
-            earlyBytes != null -> ReadPreparation.BYTES_AVAILABLE
-            isWatching -> {
-                pendingRead = callback
-                ReadPreparation.INTEREST_REGISTERED
-            }
-            else -> ReadPreparation.NOT_WATCHING
+            count < 0 -> onClosed(watch)
+            count == 0 -> super.tryFillInterested(watch)
         }
     }
 
-    private fun takeOnClose(): (() -> Unit)? = synchronized(lock) {
-        onClose.also { onClose = null }
+    private fun onClosed(watch: Watch) {
+        if (watch.deactivate()) watch.onClose()
     }
 
-    private fun takeEarlyBytes(): ByteBuffer? = synchronized(lock) {
-        earlyBytes.also { earlyBytes = null }
+    private fun readEarlyBytes(): Int {
+        val buffer = BufferUtil.allocate(EARLY_READ_BYTES)
+        val count = try {
+            super.fill(buffer)
+        } catch (e: IOException) {
+            // A reset ends the input as a close does.
+            END_OF_INPUT
+        }
+        if (count > 0) earlyBytes = buffer
+        return count
     }
 
-    private fun keepEarlyBytes(buffer: ByteBuffer): Unit = synchronized(lock) {
-        earlyBytes = buffer
-    }
+    /** The watch during one request; it is inactive from the end of the request. */
+    inner class Watch(val onClose: () -> Unit) : Callback {
+        var isActive = true
+            private set
+
+        /** Starts to wait for the caller's close, unless the request has ended by now. */
+        fun begin() = begin(this)
 
-    /** What happens to a read that Jetty asks for. */
-    private enum class ReadPreparation { BYTES_AVAILABLE, INTEREST_REGISTERED, NOT_WATCHING }
+        /** Makes the watch inactive; returns false if it was so already. */
+        fun deactivate(): Boolean = lock.withLock { isActive.also { isActive = false } }
 
-    private inner class ReadableCallback : Callback {
-        override fun succeeded() = onReadable()
+        override fun succeeded() = onReadable(this)
 
-        override fun failed(x: Throwable) = this@CloseWatch.onReadFailed(x)
+        override fun failed(x: Throwable) = onClosed(this)
 
         override fun getInvocationType(): Invocable.InvocationType =
             Invocable.InvocationType.NON_BLOCKING
     }
 
-    private companion object {
-        const val EARLY_READ_BYTES = 4096
-        const val END_OF_INPUT = -1
+    /** Ends [watch] just before Jetty completes the request and reads the next one. */
+    private inner class WatchedStream(stream: HttpStream, private val watch: Watch) :
+        HttpStream.Wrapper(stream) {
+        override fun succeeded() {
+            end(watch)
+            super.succeeded()
+        }
+
+        override fun failed(x: Throwable) {
+            end(watch)
+            super.failed(x)
+        }
+    }
+
+    companion object {
+        private const val EARLY_READ_BYTES = 4096
+        private const val END_OF_INPUT = -1
+
+        /**
+         * Returns a watch that, once begun, calls [onClose] at most once if the caller of
+         * [request], whose body has been read, closes the connection before its answer is complete.
+         */
+        fun prepare(request: Request, onClose: () -> Unit): Watch? {
+            val endPoint = request.connectionMetaData.connection.endPoint as? CloseWatch
+            return endPoint?.Watch(onClose)?.also { watch ->
+                request.addHttpStreamWrapper { endPoint.WatchedStream(it, watch) }
+            }
+        }
     }
 }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DecisionLog.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DecisionLog.kt
@@ -37,6 +37,8 @@
             action.refusal.reason,
             action.version,
         )
+        // Placement logs how the call ends.
+        is EntryAction.ReportGone -> Unit
         is EntryAction.ConfigurationApplied ->
             log.info("event=configuration_in_force version={}", action.configuration.version)
     }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/GatewayNode.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/GatewayNode.kt
@@ -142,7 +142,7 @@
             requestLimits = { entry.snapshot.configuration?.limits ?: RequestLimits() },
             shouldClose = { lifecycle.snapshot is LifecycleState.Draining },
             offerRequest = rings.entry::offer,
-            onCallerGone = { rings.placement.put(PlacementEvent.CallerGone(it)) },
+            onCallerGone = { rings.entry.put(EntryEvent.CallerGone(it)) },
         ),
         statusHandler = StatusHandler(
             protocol.readinessTarget,
@@ -174,6 +174,7 @@
         log.entry(action)
         when (action) {
             is EntryAction.Forward -> rings.placement.put(PlacementEvent.Submit(action.call))
+            is EntryAction.ReportGone -> rings.placement.put(PlacementEvent.CallerGone(action.key))
             is EntryAction.Refuse ->
                 exchanges.refuse(action.key, action.head.requestId, action.refusal)
             is EntryAction.ConfigurationApplied -> {
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/GatewayRings.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/GatewayRings.kt
@@ -9,7 +9,7 @@
 
 /** The rings that connect the duties of a gateway node. */
 internal class GatewayRings {
-    val entry = Ring<EntryEvent>("entry", ENTRY_CAPACITY)
+    val entry = Ring<EntryEvent>("entry", ENTRY_CAPACITY, ENTRY_RESERVE)
     val placement = Ring<PlacementEvent>("placement", PIPELINE_CAPACITY, PLACEMENT_RESERVE)
     val relay = Ring<RelayEvent>("relay", PIPELINE_CAPACITY)
     val discovery = Ring<DiscoveryEvent>("discovery", CONTROL_CAPACITY)
@@ -20,6 +20,7 @@
 
     private companion object {
         const val ENTRY_CAPACITY = 4096
+        const val ENTRY_RESERVE = 1024
         const val PIPELINE_CAPACITY = 16_384
         const val PLACEMENT_RESERVE = 4096
         const val CONTROL_CAPACITY = 256
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/PlacementSink.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/PlacementSink.kt
@@ -27,7 +27,8 @@
         count(action)
         when (action) {
             is PlacementAction.Send -> rings.relay.put(RelayEvent.Begin(action.order))
-            is PlacementAction.Cancel -> upstreams.cancel(action.attempt, action.why)
+            is PlacementAction.Cancel ->
+                rings.relay.put(RelayEvent.Cancel(action.attempt, action.why))
             is PlacementAction.Deliver -> {
                 exchanges.deliver(action.call.call.key, action.answer)
                 stopStream(action.call, isAborted = false)
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/RelaySink.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/RelaySink.kt
@@ -27,7 +27,7 @@
             upstreams.demand(action.attempt)
         }
         is RelayAction.Demand -> upstreams.demand(action.attempt)
-        is RelayAction.Drop -> upstreams.cancel(action.attempt, "of no use")
+        is RelayAction.Drop -> upstreams.cancel(action.attempt, action.why)
         is RelayAction.Complete -> exchanges.complete(action.key)
         is RelayAction.Abort -> exchanges.abort(action.key, "broken off")
         is RelayAction.Report -> Unit.also { rings.placement.put(action.event) }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/AnswerHandling.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/AnswerHandling.kt
@@ -19,14 +19,15 @@
         val call = state.calls[key.call] ?: return Step(state)
         val attempt = call.attempts[key.number] ?: return Step(state)
         val head = answer.head
-        val isForOtherCall = head.requestId != null && head.requestId != call.call.head.requestId
+        val isOwn = head.requestId == call.call.head.requestId
+        val isForOtherCall = head.requestId != null && !isOwn
         return when {
             isForOtherCall -> lossRecovery.attemptFailed(state, key, "answer to another call", now)
             head.isMisdirected -> misdirected(state, call, attempt, head.upstream, now)
             head.didNotRun -> notRun(state, call, attempt, head.status, now)
             call.isStreamOpen ->
                 lossRecovery.attemptFailed(state, key, "status ${head.status} for a resume", now)
-            head.isSuccess && head.isSigned ->
+            head.isSuccess && head.isSigned && isOwn ->
                 CallCompletion.deliver(
                     recordAnswer(state, call, attempt, now),
                     call,
@@ -34,7 +35,7 @@
                     attempt.number,
                 )
             head.isSuccess || !head.isSigned ->
-                lossRecovery.attemptFailed(state, key, "unsigned answer", now)
+                lossRecovery.attemptFailed(state, key, "answer without signature or id", now)
             head.status >= FIRST_SERVER_ERROR && call.call.route.retryRule.isRetryable ->
                 retry(recordAnswer(state, call, attempt, now), call, attempt, answer, now)
             else -> CallCompletion.deliver(
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementFilter.kt
@@ -77,7 +77,9 @@
         hasEvents: Boolean,
     ): Step<PlacementState, PlacementAction> {
         val call = state.calls[key.call] ?: return Step(state)
-        val attempt = call.attempts[key.number] ?: return Step(state)
+        // The relay forwards an abandoned attempt until the next one begins.
+        val attempt = call.attempts[key.number]
+            ?: return Step(state.with(call.copy(isStreamOpen = true)))
         val updatedAttempt = attempt.copy(
             lastSeenAt = now,
             hasEvents = attempt.hasEvents || hasEvents,
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/relay/RelayAction.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/relay/RelayAction.kt
@@ -25,8 +25,8 @@
     /** Requests more bytes from [attempt]. */
     public data class Demand(val attempt: AttemptKey) : RelayAction()
 
-    /** Cancels [attempt], whose bytes are not needed. */
-    public data class Drop(val attempt: AttemptKey) : RelayAction()
+    /** Cancels [attempt], whose bytes are not needed; [why] is for the log. */
+    public data class Drop(val attempt: AttemptKey, val why: String = "not needed") : RelayAction()
 
     /** Ends the caller's answer as complete. */
     public data class Complete(val key: CallKey) : RelayAction()
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/relay/RelayEvent.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/relay/RelayEvent.kt
@@ -23,6 +23,9 @@
     /** The connection of [attempt] broke. */
     public data class Failed(val attempt: AttemptKey, val cause: String) : RelayEvent()
 
+    /** Placement cancels [attempt], which it may have begun just before. */
+    public data class Cancel(val attempt: AttemptKey, val why: String) : RelayEvent()
+
     /** The stream stops; with [isAborted] the caller's answer is aborted as incomplete. */
     public data class Stop(val key: CallKey, val isAborted: Boolean) : RelayEvent()
 }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/relay/RelayFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/relay/RelayFilter.kt
@@ -26,6 +26,7 @@
         is RelayEvent.Chunk -> chunk(state, event)
         is RelayEvent.Ended -> ended(state, event.attempt)
         is RelayEvent.Failed -> failed(state, event)
+        is RelayEvent.Cancel -> state.withActions(RelayAction.Drop(event.attempt, event.why))
         is RelayEvent.Stop -> stop(state, event)
     }
 
@@ -60,6 +61,11 @@
         val frames = EventFrames.split(stream.partialEvent, event.bytes)
         val next = stream.copy(partialEvent = frames.partialEvent)
         return when {
+            next.partialEvent.size > MAX_EVENT_BYTES ->
+                state.with(next.copy(partialEvent = Body.EMPTY)).withActions(
+                    RelayAction.Drop(event.attempt, "event too long"),
+                    reportBroken(event.attempt, "event longer than $MAX_EVENT_BYTES bytes"),
+                )
             frames.ids.isEmpty() -> state.with(next).withActions(RelayAction.Demand(event.attempt))
             !areConsecutive(stream.lastEvent, frames.ids) -> state.with(next).withActions(
                 RelayAction.Drop(event.attempt),
@@ -113,4 +119,9 @@
 
     private fun RelayState.with(stream: RelayedStream): RelayState =
         copy(streams = streams.put(stream.currentAttempt.call, stream))
+
+    private companion object {
+        /** Bounds the memory that an upstream can take which sends bytes without end. */
+        const val MAX_EVENT_BYTES = 256 * 1024
+    }
 }
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/entry/EntryFilterTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/entry/EntryFilterTest.kt
@@ -167,7 +167,14 @@
                     else -> action.refusal::class.simpleName
                 }
                 is EntryAction.ConfigurationApplied -> "configuration applied"
+                is EntryAction.ReportGone -> "gone"
             }
             outcome shouldBe case.outcome
         }
+
+        test("the close of a caller follows its request to placement") {
+            val gone = EntryEvent.CallerGone(CallKey(1))
+            EntryFilter().step(EntryState(), gone, Duration.ZERO).actions shouldBe
+                listOf(EntryAction.ReportGone(CallKey(1)))
+        }
     })
--- /dev/null
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/http/CallerExchangeTest.kt
@@ -0,0 +1,92 @@
+package org.bilberrycart.gateway.http
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.datatest.withData
+import io.kotest.engine.names.WithDataTestName
+import io.kotest.matchers.shouldBe
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration.Companion.seconds
+import org.bilberrycart.gateway.model.Body
+import org.eclipse.jetty.client.BufferingResponseListener
+import org.eclipse.jetty.client.Result
+import org.eclipse.jetty.server.Handler
+import org.eclipse.jetty.server.Request
+import org.eclipse.jetty.server.Response
+import org.eclipse.jetty.server.Server
+import org.eclipse.jetty.server.ServerConnector
+import org.eclipse.jetty.util.Callback
+
+/**
+ * What a caller gets of an answer that is written by [steps].
+ *
+ * @property outcome `STATUS BODY`, or `broken` if the answer is recognizably incomplete.
+ */
+private data class ExchangeCase(
+    val name: String,
+    val steps: List<(CallerExchange) -> Unit>,
+    val outcome: String,
+) : WithDataTestName {
+    override fun dataTestName(): String = name
+}
+
+private const val TIMEOUT_SECONDS = 20L
+
+private val open = { exchange: CallerExchange -> Unit.also { exchange.open(200, emptyList()) } }
+private val write = { exchange: CallerExchange ->
+    val written = CountDownLatch(1)
+    exchange.write(Body.of("part ")) { written.countDown() }
+    check(written.await(TIMEOUT_SECONDS, TimeUnit.SECONDS))
+}
+private val complete = { exchange: CallerExchange -> exchange.complete() }
+private val refuse =
+    { exchange: CallerExchange -> exchange.answer(503, emptyList(), Body.of("refused")) }
+private val abort = { exchange: CallerExchange -> exchange.abort("test") }
+
+class CallerExchangeTest :
+    FunSpec({
+        val client = HttpClients.start("caller", 5.seconds)
+        afterSpec { client.stop() }
+
+        fun serve(steps: List<(CallerExchange) -> Unit>): Server = Server().apply {
+            addConnector(ServerConnector(this))
+            handler = object : Handler.Abstract() {
+                override fun handle(request: Request, response: Response, callback: Callback) =
+                    true.also {
+                        val exchange = CallerExchange(request, response, callback) { false }
+                        steps.forEach { it(exchange) }
+                    }
+            }
+            start()
+        }
+
+        fun outcome(server: Server): String {
+            val seen = java.util.concurrent.CompletableFuture<String>()
+            val port = (server.connectors.single() as ServerConnector).localPort
+            client.newRequest("http://127.0.0.1:$port/").send(
+                object : BufferingResponseListener() {
+                    override fun onComplete(result: Result) {
+                        val answer = result.response?.status.toString() + " " + contentAsString
+                        seen.complete(if (result.isFailed) "broken" else answer)
+                    }
+                },
+            )
+            return seen.get(TIMEOUT_SECONDS, TimeUnit.SECONDS)
+        }
+
+        withData(
+            ExchangeCase("a whole answer", listOf(refuse), "503 refused"),
+            ExchangeCase("a whole stream", listOf(open, write, write, complete), "200 part part "),
+            ExchangeCase("a stream that is aborted", listOf(open, write, abort), "broken"),
+            ExchangeCase("an answer after a stream began", listOf(open, write, refuse), "broken"),
+            ExchangeCase("an answer after a stream opened", listOf(open, refuse), "broken"),
+            ExchangeCase("a stream after an answer", listOf(refuse, open), "503 refused"),
+        ) { case ->
+            val server = serve(case.steps)
+            try {
+                outcome(server) shouldBe case.outcome
+            } finally {
+                server.stop()
+            }
+        }
+    })
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/http/CloseWatchTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/http/CloseWatchTest.kt
@@ -65,8 +65,7 @@
             override fun handle(request: Request, response: Response, callback: Callback): Boolean {
                 val path = request.httpURI.path
                 Content.Source.asByteArrayAsync(request, MAX_BODY_BYTES).whenComplete { _, _ ->
-                    (request.connectionMetaData.connection.endPoint as CloseWatch)
-                        .watch { events += "gone $path" }
+                    CloseWatch.prepare(request) { events += "gone $path" }!!.begin()
                     open += { response.write(true, ByteBuffer.wrap(ANSWER), callback) }
                     events += "request $path"
                 }
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/http/UpstreamClientTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/http/UpstreamClientTest.kt
@@ -142,7 +142,7 @@
                         }
                         is RelayEvent.Ended -> events += "ended" to true
                         is RelayEvent.Failed -> events += "failed" to true
-                        is RelayEvent.Begin, is RelayEvent.Stop -> Unit
+                        is RelayEvent.Begin, is RelayEvent.Cancel, is RelayEvent.Stop -> Unit
                     }
                 },
             )
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/StreamPlacementTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/StreamPlacementTest.kt
@@ -82,6 +82,17 @@
                     last = PlacementEvent.AttemptFailed(attempt(), "reset"),
                     actions = listOf("abort"),
                 ),
+                StreamCase(
+                    "is aborted, not refused, if it opened after its attempt was given up",
+                    before = listOf(
+                        PlacementEvent.AttemptFailed(attempt(), "probe not answered"),
+                        PlacementEvent.StreamOpened(attempt()),
+                        PlacementEvent.AttemptFailed(attempt(2), "reset"),
+                    ),
+                    wait = 25.seconds,
+                    last = PlacementEvent.Tick,
+                    actions = listOf("abort"),
+                ),
             ) { check(it) }
         }
 
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/relay/RelayFilterTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/relay/RelayFilterTest.kt
@@ -38,6 +38,9 @@
 
 private fun chunk(number: Int, text: String) = RelayEvent.Chunk(key(number), Body.of(text))
 
+/** The size limit of an event, see [RelayFilter]. */
+private const val MAX_EVENT_BYTES = 256 * 1024
+
 private fun event(id: Int) = "id: $id\ndata: x\n\n"
 
 class RelayFilterTest :
@@ -149,8 +152,31 @@
             ) { check(it) }
         }
 
+        context("bytes that never form an event") {
+            withData(
+                RelayCase(
+                    "are requested up to the size limit",
+                    running,
+                    chunk(1, "x".repeat(MAX_EVENT_BYTES)),
+                    listOf("demand 1"),
+                ),
+                RelayCase(
+                    "break the attempt beyond the size limit",
+                    running + chunk(1, "x".repeat(MAX_EVENT_BYTES)),
+                    chunk(1, "x"),
+                    listOf("drop 1", "broken"),
+                ),
+            ) { check(it) }
+        }
+
         context("a stream that was stopped") {
             withData(
+                RelayCase(
+                    "cancels an attempt behind its dispatch",
+                    listOf(begin(1)),
+                    RelayEvent.Cancel(key(1), "caller gone"),
+                    listOf("drop 1"),
+                ),
                 RelayCase(
                     "drops later bytes",
                     running + RelayEvent.Stop(CallKey(1), isAborted = true),
