Bound bytes without end from upstreams; answer all that was read before a planned stop ends

The handlers are back. - Interim answers and chunk headers without end kept a connection busy until the deadline: a connection now ends after 512 KiB without content. Heads are limited to 32 KiB (no limit before), an answer to 8 MiB, all answers together to 24 MiB. Requests being read were not counted at all. Both are counted now. The node closes its connections first and exits 200 ms later, so that no request is read and left unanswered; before, it exited while callers could still send.

--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/http/CallerExchange.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/http/CallerExchange.kt
@@ -14,12 +14,14 @@
  * The answer to one caller, written asynchronously: chunks queue while an earlier one is written.
  *
  * @property shouldClose called for each answer; returns whether the connection closes after it.
+ * @property onEnd called once, when the answer is written or has failed.
  */
 internal class CallerExchange(
     private val request: Request,
     private val response: Response,
     private val callback: Callback,
     private val shouldClose: () -> Boolean,
+    private val onEnd: () -> Unit = {},
 ) {
     private val lock = ReentrantLock()
     private var isOpen = false
@@ -61,8 +63,7 @@
 
     /** Aborts the answer by closing the connection; [why] is passed to Jetty as the failure. */
     fun abort(why: String) {
-        val isFirstEnd = lock.withLock { !isFinished.also { isFinished = true } }
-        if (!isFirstEnd) return
+        if (!end()) return
         request.connectionMetaData.connection.endPoint.close()
         callback.failed(EofException(why))
     }
@@ -98,12 +99,17 @@
     }
 
     private fun finish() {
-        val isFirstEnd = lock.withLock { !isFinished.also { isFinished = true } }
-        if (isFirstEnd) callback.succeeded()
+        if (end()) callback.succeeded()
     }
 
     private fun onWriteFailed(cause: Throwable) {
+        if (end()) callback.failed(cause)
+    }
+
+    /** Marks the answer as ended; returns false if it was so already. */
+    private fun end(): Boolean {
         val isFirstEnd = lock.withLock { !isFinished.also { isFinished = true } }
-        if (isFirstEnd) callback.failed(cause)
+        if (isFirstEnd) onEnd()
+        return isFirstEnd
     }
 }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/http/CallerHandler.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/http/CallerHandler.kt
@@ -28,7 +28,7 @@
     private val lastKey = AtomicLong()
 
     override fun handle(request: Request, response: Response, callback: Callback): Boolean {
-        val exchange = CallerExchange(request, response, callback, shouldClose)
+        val exchange = exchanges.begin(request, response, callback, shouldClose)
         request.addIdleTimeoutListener { false }
         val headers = request.headers.map { Header(it.name, it.value.orEmpty()) }
         val arrivedAt = clock.now()
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/http/GatewayHttpServer.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/http/GatewayHttpServer.kt
@@ -51,9 +51,13 @@
         callerConfiguration.requestHeaderSize = headerBytes
     }
 
-    /** Stops accepting connections from callers and closes those that are idle. */
+    /**
+     * Stops accepting connections from callers, and closes each when it has been idle for
+     * [IDLE_BEFORE_CLOSE_MILLIS].
+     */
     fun stopAccepting() {
-        callerConnector.close()
+        callerConnector.shutdownIdleTimeout = IDLE_BEFORE_CLOSE_MILLIS
+        callerConnector.shutdown()
     }
 
     override fun close() = server.stop()
@@ -93,5 +97,6 @@
         const val MAX_THREADS = 10
         const val MIN_THREADS = 4
         const val ACCEPT_QUEUE = 512
+        const val IDLE_BEFORE_CLOSE_MILLIS = 50L
     }
 }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/http/HttpClients.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/http/HttpClients.kt
@@ -3,7 +3,10 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import org.eclipse.jetty.client.ContinueProtocolHandler
+import org.eclipse.jetty.client.EarlyHintsProtocolHandler
 import org.eclipse.jetty.client.HttpClient
+import org.eclipse.jetty.client.ProcessingProtocolHandler
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP
 import org.eclipse.jetty.http.HttpCookieStore
 import org.eclipse.jetty.util.thread.QueuedThreadPool
@@ -13,6 +16,7 @@
     private const val MAX_THREADS = 8
     private const val MIN_THREADS = 3
     private const val CONNECTIONS_PER_ADDRESS = 64
+    private const val MAX_HEAD_BYTES = 32 * 1024
     private const val QUEUED_REQUESTS_PER_ADDRESS = 256
     private val CONNECT_TIMEOUT = 300.milliseconds
     private val IDLE_DESTINATION_TIMEOUT = 20.seconds
@@ -36,6 +40,7 @@
             userAgentField = null
             defaultRequestContentType = null
             httpCookieStore = HttpCookieStore.Empty()
+            maxResponseHeadersSize = MAX_HEAD_BYTES
             maxConnectionsPerDestination = CONNECTIONS_PER_ADDRESS
             maxRequestsQueuedPerDestination = QUEUED_REQUESTS_PER_ADDRESS
             destinationIdleTimeout = IDLE_DESTINATION_TIMEOUT.inWholeMilliseconds
@@ -43,6 +48,10 @@
             start()
             contentDecoderFactories.clear()
             protocolHandlers.clear()
+            // Without its handler, an interim answer is never followed by the final one.
+            protocolHandlers.put(ContinueProtocolHandler())
+            protocolHandlers.put(ProcessingProtocolHandler())
+            protocolHandlers.put(EarlyHintsProtocolHandler())
         }
     }
 }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/http/OpenExchanges.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/http/OpenExchanges.kt
@@ -1,19 +1,38 @@
 package org.bilberrycart.gateway.http
 
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicInteger
 import org.bilberrycart.gateway.model.AnswerHead
 import org.bilberrycart.gateway.model.Body
 import org.bilberrycart.gateway.model.CallKey
 import org.bilberrycart.gateway.model.Refusal
 import org.bilberrycart.gateway.model.UpstreamAnswer
+import org.eclipse.jetty.server.Request
+import org.eclipse.jetty.server.Response
+import org.eclipse.jetty.util.Callback
 
 /** The exchanges of calls whose answer is not complete, by key; each gets exactly one answer. */
 public class OpenExchanges(private val protocol: CallProtocol) {
     private val exchanges = ConcurrentHashMap<CallKey, CallerExchange>()
 
-    /** The number of calls whose answer is not complete. */
+    private val unfinished = AtomicInteger()
+
+    /** The number of requests whose answer is not sent completely, those being read included. */
     public val size: Int
-        get() = exchanges.size
+        get() = unfinished.get()
+
+    /** Returns the exchange of a request that begins; [shouldClose] is as in [CallerExchange]. */
+    internal fun begin(
+        request: Request,
+        response: Response,
+        callback: Callback,
+        shouldClose: () -> Boolean,
+    ): CallerExchange {
+        unfinished.incrementAndGet()
+        return CallerExchange(request, response, callback, shouldClose) {
+            unfinished.decrementAndGet()
+        }
+    }
 
     /** Returns whether the answer to the call with [key] is not complete yet. */
     public fun isOpen(key: CallKey): Boolean = exchanges.containsKey(key)
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/http/ResetAwareEndPoint.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/http/ResetAwareEndPoint.kt
@@ -10,9 +10,10 @@
 import org.eclipse.jetty.util.thread.Scheduler
 
 /**
- * The endpoint of a connection to an upstream, which distinguishes a reset from an orderly close.
+ * The endpoint of a connection to an upstream, which distinguishes a reset from an orderly close
+ * and ends a connection whose bytes never become part of an answer.
  *
- * Jetty reports both as the end of input. An answer without a length ends when its connection
+ * Jetty reports a reset as the end of input. An answer without a length ends when its connection
  * closes, so a reset would make a truncated answer look complete.
  */
 internal class ResetAwareEndPoint(
@@ -21,6 +22,13 @@
     key: SelectionKey,
     scheduler: Scheduler,
 ) : SocketChannelEndPoint(channel, selector, key, scheduler) {
+    @Volatile private var bytesSinceProgress = 0L
+
+    /** Notes that a request was sent or that content of an answer arrived. */
+    fun noteProgress() {
+        bytesSinceProgress = 0
+    }
+
     override fun fill(buffer: ByteBuffer): Int {
         if (isInputShutdown) return END_OF_INPUT
         val position = BufferUtil.flipToFill(buffer)
@@ -34,10 +42,23 @@
         }
         if (count > 0) notIdle()
         if (count == END_OF_INPUT) shutdownInput()
+        checkProgress(count)
         return count
     }
 
+    private fun checkProgress(count: Int) {
+        val bytes = bytesSinceProgress + maxOf(0, count)
+        bytesSinceProgress = bytes
+        if (bytes > MAX_BYTES_WITHOUT_PROGRESS) {
+            shutdownInput()
+            throw IOException("no content in the last $bytes bytes")
+        }
+    }
+
     private companion object {
         const val END_OF_INPUT = -1
+
+        /** Far above the size of heads; reached by interim answers or chunk headers without end. */
+        const val MAX_BYTES_WITHOUT_PROGRESS = 512 * 1024
     }
 }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/http/UpstreamClient.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/http/UpstreamClient.kt
@@ -5,6 +5,7 @@
 import java.util.concurrent.CancellationException
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicLong
 import java.util.concurrent.atomic.AtomicReference
 import kotlin.time.Duration
 import org.bilberrycart.gateway.model.AnswerHead
@@ -39,6 +40,9 @@
 ) {
     private val attempts = ConcurrentHashMap<AttemptKey, SentAttempt>()
 
+    /** The bytes of all answers that are being received. */
+    private val bufferedBytes = AtomicLong()
+
     /** The number of attempts in flight. */
     val size: Int
         get() = attempts.size
@@ -50,7 +54,7 @@
      * at its first event if null.
      */
     fun send(order: SendOrder, lastEvent: Long?) {
-        val request = client.newRequest(order.upstream.host, order.upstream.port)
+        val request = newRequest(order.upstream)
             .method(order.call.head.method)
             .path(order.call.head.target)
             .headers { fields ->
@@ -74,7 +78,7 @@
 
     /** Checks whether [upstream] answers within [timeout] and reports the result to [placement]. */
     fun probe(upstream: UpstreamEntry, timeout: Duration) {
-        client.newRequest(upstream.host, upstream.port).path(protocol.probeTarget)
+        newRequest(upstream).path(protocol.probeTarget)
             .timeout(timeout.inWholeMilliseconds, TimeUnit.MILLISECONDS)
             .send(object : BufferingResponseListener(MAX_REPORT_BYTES) {
                 override fun onComplete(result: Result) {
@@ -89,7 +93,7 @@
      * or null if no valid report arrives within [timeout].
      */
     fun identify(upstream: UpstreamEntry, timeout: Duration, onReport: (EngineReport?) -> Unit) {
-        client.newRequest(upstream.host, upstream.port).path(protocol.probeTarget)
+        newRequest(upstream).path(protocol.probeTarget)
             .timeout(timeout.inWholeMilliseconds, TimeUnit.MILLISECONDS)
             .send(object : BufferingResponseListener(MAX_REPORT_BYTES) {
                 override fun onComplete(result: Result) {
@@ -101,6 +105,14 @@
             })
     }
 
+    private fun newRequest(upstream: UpstreamEntry): Request =
+        client.newRequest(upstream.host, upstream.port).onRequestCommit(::noteProgress)
+
+    private fun noteProgress(request: Request) {
+        val connection = request.connection as? org.eclipse.jetty.io.Connection
+        (connection?.endPoint as? ResetAwareEndPoint)?.noteProgress()
+    }
+
     private inner class SentAttempt(private val order: SendOrder, private val request: Request) {
         private val attempt = order.attempt
         private val pendingDemand = AtomicReference<Runnable?>()
@@ -140,18 +152,27 @@
         }
 
         private fun onChunk(buffer: ByteBuffer, next: Runnable) {
+            noteProgress(request)
             val bytes = ByteArray(buffer.remaining()).also { buffer.get(it) }
             if (isStream) {
                 pendingDemand.set(next)
                 relay(RelayEvent.Chunk(attempt, Body(bytes)))
             } else {
-                body.write(bytes)
-                if (body.size() > MAX_ANSWER_BYTES) cancel("answer too long") else next.run()
+                keep(bytes)
+                next.run()
             }
         }
 
+        private fun keep(bytes: ByteArray) {
+            val total = bufferedBytes.addAndGet(bytes.size.toLong())
+            body.write(bytes)
+            if (body.size() > MAX_ANSWER_BYTES) cancel("answer too long")
+            if (total > MAX_BUFFERED_BYTES) cancel("all answers together are too long")
+        }
+
         private fun onFinished(result: Result) {
             attempts.remove(attempt)
+            bufferedBytes.addAndGet(-body.size().toLong())
             val answer = head
             val cause = result.failure
             when {
@@ -171,6 +192,9 @@
 
     private companion object {
         const val MAX_REPORT_BYTES = 64 * 1024
-        const val MAX_ANSWER_BYTES = 16 * 1024 * 1024
+        const val MAX_ANSWER_BYTES = 8 * 1024 * 1024
+
+        /** Bounds the memory that upstreams can take which send bodies without end. */
+        const val MAX_BUFFERED_BYTES = 24L * 1024 * 1024
     }
 }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/lifecycle/LifecycleAction.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/lifecycle/LifecycleAction.kt
@@ -8,7 +8,7 @@
     /** Refuses new streams, because they may not end before the process is killed. */
     public data object RefuseStreams : LifecycleAction()
 
-    /** Accepts no new connections, and no new requests on open ones. */
+    /** Accepts no new connections or requests, and closes the connections that are idle. */
     public data object StopAccepting : LifecycleAction()
 
     /** Aborts the [openCalls] that are still open. */
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/lifecycle/LifecycleFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/lifecycle/LifecycleFilter.kt
@@ -10,8 +10,9 @@
 /**
  * Decides when a node is ready and how it shuts down.
  *
- * During shutdown the node first reports that it is not ready, then refuses streams, and later
- * refuses all requests. It exits when all calls are answered or [grace] is nearly over.
+ * During shutdown the node first reports that it is not ready, then refuses streams. Once the
+ * balancer sends no more callers and all calls are answered, or [grace] is nearly over, it closes
+ * its connections, and exits when the last request that it read is answered.
  *
  * @property grace the time from the request to stop until the process is killed.
  */
@@ -69,11 +70,11 @@
                     LifecycleAction.Exit(openCalls),
                 ),
             )
-            elapsed >= grace - FINAL_CALLS && state.acceptsConnections ->
-                state.copy(acceptsConnections = false).withActions(LifecycleAction.StopAccepting)
+            state.closedAt == null && mustClose(elapsed, openCalls) ->
+                state.copy(closedAt = now).withActions(LifecycleAction.StopAccepting)
             elapsed >= STREAM_ACCEPTANCE && state.acceptsStreams ->
                 state.copy(acceptsStreams = false).withActions(LifecycleAction.RefuseStreams)
-            elapsed >= BALANCER_DETECTION && openCalls == 0 -> Step(
+            openCalls == 0 && state.closedAt?.let { now - it >= CLOSE_SETTLE } == true -> Step(
                 LifecycleState.Stopped,
                 persistentListOf(LifecycleAction.Exit(openCalls)),
             )
@@ -81,6 +82,9 @@
         }
     }
 
+    private fun mustClose(elapsed: Duration, openCalls: Int): Boolean =
+        elapsed >= grace - FINAL_CALLS || elapsed >= BALANCER_DETECTION && openCalls == 0
+
     private fun LifecycleState.withActions(action: LifecycleAction) =
         Step(this, persistentListOf(action))
 
@@ -97,6 +101,9 @@
          */
         val FINAL_CALLS = 2.seconds
 
+        /** Requests that were read when the connections closed are answered within this time. */
+        val CLOSE_SETTLE = 200.milliseconds
+
         /** Reserved for closing connections before the process is killed. */
         val CLOSE_RESERVE = 900.milliseconds
     }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/lifecycle/LifecycleState.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/lifecycle/LifecycleState.kt
@@ -11,11 +11,15 @@
     /** The node serves requests. */
     public data object Serving : LifecycleState()
 
-    /** The node was asked to stop at [since] and finishes its open calls. */
+    /**
+     * The node was asked to stop at [since] and finishes its open calls.
+     *
+     * @property closedAt when it stopped to accept connections; null while it accepts them.
+     */
     public data class Draining(
         val since: Duration,
         val acceptsStreams: Boolean = true,
-        val acceptsConnections: Boolean = true,
+        val closedAt: Duration? = null,
     ) : LifecycleState()
 
     /** The node has ended. */
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/http/CallerExchangeTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/http/CallerExchangeTest.kt
@@ -53,7 +53,7 @@
             handler = object : Handler.Abstract() {
                 override fun handle(request: Request, response: Response, callback: Callback) =
                     true.also {
-                        val exchange = CallerExchange(request, response, callback) { false }
+                        val exchange = CallerExchange(request, response, callback, { false })
                         steps.forEach { it(exchange) }
                     }
             }
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/lifecycle/LifecycleFilterTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/lifecycle/LifecycleFilterTest.kt
@@ -20,7 +20,7 @@
 class LifecycleFilterTest :
     FunSpec({
         val draining = LifecycleState.Draining(since = 10.seconds)
-        val closed = draining.copy(acceptsStreams = false, acceptsConnections = false)
+        val closed = draining.copy(acceptsStreams = false, closedAt = 13.seconds)
         withData(
             LifecycleCase(
                 "a node without upstreams is not ready",
@@ -74,6 +74,20 @@
                 at = 16.seconds,
                 actions = listOf("StopAccepting"),
             ),
+            LifecycleCase(
+                "a draining node closes its connections when all calls are answered",
+                draining.copy(acceptsStreams = false),
+                LifecycleEvent.Tick(openCalls = 0),
+                at = 13.2.seconds,
+                actions = listOf("StopAccepting"),
+            ),
+            LifecycleCase(
+                "a draining node waits for requests that were read as its connections closed",
+                closed,
+                LifecycleEvent.Tick(openCalls = 0),
+                at = 13.1.seconds,
+                actions = emptyList(),
+            ),
             LifecycleCase(
                 "a draining node waits for open calls",
                 closed,
