Share the retry budget over all nodes; let a slow node doubt itself before an upstream

Ruled out: refused connections count (they are taken back), the ratio (0.75 of it was used), wrong node count. Change: nodes report their use with their gossip (the last report of a node that is gone counts for the window). Beyond its own share a node may use what the reports show to be left, as long as each node could take an equal part of that before the next reports; less if nodes can't be heard. Streams wait up to 2 s for it.

TickLag: with 0.12 of a core, gaps between ticks of hundreds of milliseconds were taken for silence of upstreams. The gap now extends the limits of silence.

Large fleets: peers are removed after 3.5 message intervals if that is longer than 1.5 s (beyond 76 nodes live peers were removed and added in turns); the node's share of upstreams is computed when peers or upstreams change, not for each choice.

--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/PeerLinks.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/PeerLinks.kt
@@ -11,6 +11,7 @@
 import org.bilberrycart.gateway.discovery.StoreTable
 import org.bilberrycart.gateway.http.StatusHandler
 import org.bilberrycart.gateway.model.CallFingerprint
+import org.bilberrycart.gateway.model.ServiceName
 import org.bilberrycart.gateway.model.UpstreamId
 import org.bilberrycart.gateway.peers.GossipCodec
 import org.bilberrycart.gateway.peers.PeerSocket
@@ -46,10 +47,14 @@
     private val socket = PeerSocket(settings.address, settings.peerPort) {
         ring.offer(PeersEvent.Received(it))
     }
+
+    /** The states at the last tick; used by the timer's thread only. */
+    private var lastStates: List<Any> = emptyList()
     private val duty = Duty("peers", ring, initialState(), PeersFilter(), clock, ::execute)
 
     /** The target of the node's ticker that drives gossip. */
-    val tickTarget: Ticker.Target<PeersEvent> = Ticker.Target(ring, ::tick)
+    val tickTarget: Ticker.Target<PeersEvent> =
+        Ticker.Target(ring, isDue = IdlePeriods(IDLE_TICKS).orWhen(::isChanged), ::tick)
 
     /** Starts the peers duty and its socket. */
     fun start() {
@@ -87,6 +92,14 @@
             .filterNot { it == self }.toPersistentSet(),
     )
 
+    /** Whether this node's loads or what it knows of its peers changed since the last call. */
+    private fun isChanged(): Boolean {
+        val states = listOf(placementState(), duty.snapshot)
+        val isSame = states.zip(lastStates).count { (a, b) -> a === b } == states.size
+        lastStates = states
+        return !isSame
+    }
+
     private fun tick(): PeersEvent {
         val state = placementState()
         val now = clock.now()
@@ -101,6 +114,9 @@
             crashes = state.crashes.toGossip().entries.associate { (content, upstreams) ->
                 content.value to upstreams.map { it.value }
             },
+            retries = state.budgets.entries.associate { (service, budget) ->
+                service.value to budget.use(now)
+            },
         )
     }
 
@@ -127,10 +143,14 @@
             CallFingerprint(content) to upstreams.map(::UpstreamId).toSet()
         }.toPersistentMap(),
         share = NodeShare(self, action.peers),
+        retries = action.summary.retries.mapKeys { ServiceName(it.key) }.toPersistentMap(),
     )
 
     private companion object {
         const val RING_CAPACITY = 1024
+
+        /** Without a change, one tick in this many checks for heartbeats and silent peers. */
+        const val IDLE_TICKS = 5
         const val MAX_TABLE_BYTES = 8 * 1024 * 1024
         val TABLE_TIMEOUT = 1.seconds
 
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/GossipMessage.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/GossipMessage.kt
@@ -3,6 +3,7 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.CborLabel
+import org.bilberrycart.gateway.model.RetryUse
 
 /**
  * The message that a node repeatedly sends to other nodes; the newest replaces all earlier ones.
@@ -15,6 +16,7 @@
  * @property lossAges how many milliseconds ago the sender lost each upstream, by id.
  * @property crashes the upstreams that broke off when they began a call, by its fingerprint.
  * @property tableVersions the version that the sender has of each table, by name.
+ * @property retries the sender's use of the retry budget of each service in the retry window.
  */
 @Serializable
 public data class GossipMessage(
@@ -27,4 +29,5 @@
     @CborLabel(label = 7) @SerialName("tables") val tableVersions: Map<String, Long> = emptyMap(),
     @CborLabel(label = 8) @SerialName("strikes")
     val crashes: Map<Long, List<String>> = emptyMap(),
+    @CborLabel(label = 9) val retries: Map<String, RetryUse> = emptyMap(),
 )
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeerSummary.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeerSummary.kt
@@ -1,14 +1,19 @@
 package org.bilberrycart.gateway.peers
 
+import org.bilberrycart.gateway.model.RetryUse
+
 /**
  * The combined reports of all peers of a node.
  *
  * @property loads the sum of their attempts in progress at each upstream, by id.
  * @property lossAges how many milliseconds ago a peer last lost each upstream, by id.
  * @property crashes the upstreams that broke off when they began a call, by its fingerprint.
+ * @property retries their use of the retry budget of each service in the retry window; includes
+ *   that of peers that were removed during the window.
  */
 public data class PeerSummary(
     val loads: Map<String, Int> = emptyMap(),
     val lossAges: Map<String, Int> = emptyMap(),
     val crashes: Map<Long, Set<String>> = emptyMap(),
+    val retries: Map<String, RetryUse> = emptyMap(),
 )
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeersEvent.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeersEvent.kt
@@ -1,5 +1,7 @@
 package org.bilberrycart.gateway.peers
 
+import org.bilberrycart.gateway.model.RetryUse
+
 /** The inputs of the peers filter. */
 public sealed class PeersEvent {
     /** A message of another node was received. */
@@ -14,5 +16,6 @@
         val lossAges: Map<String, Int>,
         val tableVersions: Map<String, Long>,
         val crashes: Map<Long, List<String>> = emptyMap(),
+        val retries: Map<String, RetryUse> = emptyMap(),
     ) : PeersEvent()
 }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeersFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeersFilter.kt
@@ -7,6 +7,7 @@
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.collections.immutable.toPersistentMap
+import org.bilberrycart.gateway.model.RetryUse
 import org.bilberrycart.pipeline.Filter
 import org.bilberrycart.pipeline.Step
 import org.bilberrycart.pipeline.withActions
@@ -15,7 +16,8 @@
  * Exchanges gossip messages with other nodes and summarizes what they report.
  *
  * Messages are best-effort: each replaces the previous one of its sender, so that a lost message
- * does no harm. A peer that has sent nothing for [PEER_TIMEOUT] is removed.
+ * does no harm. A peer that has sent nothing for [PEER_TIMEOUT], or for [MISSED_MESSAGES] intervals
+ * of a large fleet, is removed.
  */
 public class PeersFilter : Filter<PeersState, PeersEvent, PeersAction> {
     override fun step(
@@ -41,6 +43,10 @@
             lossTimes = state.lossTimes.putAll(
                 message.lossAges.mapValues { now - it.value.milliseconds },
             ),
+            departedRetries = state.departedRetries.addAll(
+                listOfNotNull(known?.takeIf { it.message.incarnation != message.incarnation })
+                    .mapNotNull { departedRetries(it, now) },
+            ),
         )
         val isNew = known == null
         val actions = listOfNotNull(
@@ -66,9 +72,12 @@
         event: PeersEvent.Tick,
         now: Duration,
     ): Step<PeersState, PeersAction> {
-        val silent = state.peers.filterValues { now - it.lastSeenAt > PEER_TIMEOUT }
+        val timeout = maxOf(PEER_TIMEOUT, interval(state) * MISSED_MESSAGES)
+        val silent = state.peers.filterValues { now - it.lastSeenAt > timeout }
+        val departed = silent.values.mapNotNull { departedRetries(it, now) }
         val remaining = state.copy(
             peers = state.peers.filterKeys { it !in silent }.toPersistentMap(),
+            departedRetries = state.departedRetries.removeAll { it.until <= now }.addAll(departed),
         )
         val summarized = summarize(remaining, now)
         val sent = sendToPeers(summarized.state, event, now)
@@ -82,6 +91,16 @@
         )
     }
 
+    private fun departedRetries(peer: PeerView, now: Duration): DepartedRetries? =
+        peer.message.retries.takeIf { it.isNotEmpty() }
+            ?.let { DepartedRetries(it, until = now + RETRY_WINDOW) }
+
+    /** Returns the time between two messages to all peers, which grows with their number. */
+    private fun interval(state: PeersState): Duration = when {
+        state.peers.size <= SMALL_PEER_COUNT -> INTERVAL_PER_PEER
+        else -> LONG_INTERVAL_PER_PEER
+    } * state.peers.size
+
     /**
      * Sends a message to all peers if one is due. Changes are sent sooner than heartbeats, and the
      * interval grows with the number of peers.
@@ -95,9 +114,7 @@
             state.lastSent.tableVersions != event.tableVersions ||
             state.lastSent.crashes != event.crashes ||
             event.lossAges.isNotEmpty()
-        val perPeer =
-            if (state.peers.size <= SMALL_PEER_COUNT) INTERVAL_PER_PEER else LONG_INTERVAL_PER_PEER
-        val interval = perPeer * state.peers.size
+        val interval = interval(state)
         val isEarly = now - state.lastSentAt <
             if (isChanged) interval else maxOf(interval, HEARTBEAT_INTERVAL)
         if (state.peers.isEmpty() || isEarly) return Step(state)
@@ -130,6 +147,7 @@
             lossAges = event.lossAges,
             tableVersions = event.tableVersions,
             crashes = event.crashes,
+            retries = event.retries,
         )
         return Step(
             state.copy(sequence = message.sequence, lastSent = message),
@@ -139,13 +157,18 @@
 
     /** Reports the summary of what the peers say to placement if it has changed. */
     private fun summarize(state: PeersState, now: Duration): Step<PeersState, PeersAction> {
-        if (now - state.summarizedAt < SUMMARY_INTERVAL) return Step(state)
+        val interval =
+            if (state.peers.size <= SMALL_PEER_COUNT) SUMMARY_INTERVAL else LONG_SUMMARY_INTERVAL
+        if (now - state.summarizedAt < interval) return Step(state)
         val messages = state.peers.values.map { it.message }
         val summary = PeerSummary(
             loads = messages.flatMap { it.loads.entries }
                 .groupingBy { it.key }.fold(0) { sum, entry -> sum + entry.value },
             crashes = messages.flatMap { it.crashes.entries }
                 .groupingBy { it.key }.fold(emptySet()) { ids, entry -> ids + entry.value },
+            retries = (messages.map { it.retries } + state.departedRetries.map { it.retries })
+                .flatMap { it.entries }
+                .groupingBy { it.key }.fold(RetryUse()) { sum, entry -> sum + entry.value },
         )
         val isSame = summary == state.summary && state.lossTimes.isEmpty()
         if (isSame && state.peers.keys == state.summarizedPeers) return Step(state)
@@ -167,16 +190,20 @@
 
     private companion object {
         val PEER_TIMEOUT = 1500.milliseconds
+        const val MISSED_MESSAGES = 3.5
         val HEARTBEAT_INTERVAL = 400.milliseconds
         val INTERVAL_PER_PEER = 7.milliseconds
         const val SMALL_PEER_COUNT = 8
 
-        /**
-         * Used for more than [SMALL_PEER_COUNT] peers. Each of up to fifty peers still gets at
-         * least two messages within [PEER_TIMEOUT].
-         */
+        /** Used for more than [SMALL_PEER_COUNT] peers. */
         val LONG_INTERVAL_PER_PEER = 14.milliseconds
+
+        /** The longest period over which a retry budget counts dispatches. */
+        val RETRY_WINDOW = 10.seconds
         val SUMMARY_INTERVAL = 20.milliseconds
+
+        /** Used for more than [SMALL_PEER_COUNT] peers, whose messages are further apart. */
+        val LONG_SUMMARY_INTERVAL = 60.milliseconds
         val CONTACT_INTERVAL = 1.seconds
         const val MAX_MEMBERS = 16
         const val MAX_CONTACTED = 4
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/ActiveCall.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/ActiveCall.kt
@@ -24,6 +24,7 @@
  *   once another attempt has sent an event.
  * @property kvCacheCopy the backup of the lost attempt's KV cache, if there is one.
  * @property failedAnswer the error answer to deliver if no retry succeeds.
+ * @property overBudgetSince since when the call waits for the retry budget; null if it does not.
  */
 public data class ActiveCall(
     val call: RoutedCall,
@@ -37,6 +38,7 @@
     val silentSince: Duration? = null,
     val kvCacheCopy: KvCacheCopy? = null,
     val failedAnswer: UpstreamAnswer? = null,
+    val overBudgetSince: Duration? = null,
 ) {
     /** Whether the call has no attempt in progress and waits for an upstream. */
     public val isWaiting: Boolean
--- /dev/null
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/FleetRetries.kt
@@ -0,0 +1,37 @@
+package org.bilberrycart.gateway.placement
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import org.bilberrycart.gateway.model.RetryUse
+
+/**
+ * What this node knows of the retries of all other nodes for one service.
+ *
+ * @property peers the sum of what they reported, a few hundred milliseconds old.
+ * @property heardNodes the nodes that report at present, this one included.
+ * @property knownNodes the most nodes known at a time; null before any gossip was received.
+ */
+public data class FleetRetries(
+    val peers: RetryUse = RetryUse(),
+    val heardNodes: Int = 1,
+    val knownNodes: Int? = null,
+) {
+    /** The number of nodes among which the budget is divided. */
+    internal val nodes: Int
+        get() = maxOf(knownNodes ?: DEFAULT_NODES, MIN_NODES)
+
+    /** The part of the nodes whose use is known; the others may be cut off and still retry. */
+    internal val heardShare: Double
+        get() = minOf(1.0, heardNodes.toDouble() / nodes)
+
+    /** Other nodes know of a retry after this time, which grows with the gossip interval. */
+    internal val reportDelay: Duration
+        get() = MIN_REPORT_DELAY + REPORT_DELAY_PER_NODE * nodes
+
+    private companion object {
+        val MIN_REPORT_DELAY = 150.milliseconds
+        val REPORT_DELAY_PER_NODE = 14.milliseconds
+        const val MIN_NODES = 4
+        const val DEFAULT_NODES = 32
+    }
+}
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/LeastLoadedSelector.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/LeastLoadedSelector.kt
@@ -5,20 +5,29 @@
 import kotlin.time.Duration.Companion.seconds
 import org.bilberrycart.gateway.model.CallFingerprint
 import org.bilberrycart.gateway.model.RoutedCall
+import org.bilberrycart.gateway.model.ServiceName
 import org.bilberrycart.gateway.model.UpstreamId
 
 /** Selects the least loaded usable upstream for a call, or for the backup of its KV cache. */
-internal class LeastLoadedSelector(private val state: PlacementState, private val now: Duration) {
+internal class LeastLoadedSelector(
+    private val state: PlacementState,
+    service: ServiceName,
+    private val now: Duration,
+) {
     private val random = Random(state.seed)
     private val loads = state.loads()
 
+    /** The upstreams of the service that may be selected. */
+    val usable: List<UpstreamView> = state.upstreams.values.filter {
+        it.entry.service == service && it.isUsable(now)
+    }
+
     /** The seed for the next selector; changes with each read. */
     val nextSeed: Long
         get() = random.nextLong()
 
     /** Returns the best upstream for [call], preferring upstreams that it was not sent to. */
     fun choose(call: ActiveCall): UpstreamView? {
-        val usable = usable(call.call)
         val untried = usable.filterNot { it.entry.id in call.triedUpstreams }
         return leastLoaded(untried.ifEmpty { usable }, isEngine = call.call.service.engine != null)
     }
@@ -29,7 +38,7 @@
      */
     fun chooseBackup(call: RoutedCall, main: UpstreamView): UpstreamView? {
         if (call.service.engine?.supportsBackups != true) return null
-        val others = usable(call).filterNot { it.entry.id == main.entry.id }
+        val others = usable.filterNot { it.entry.id == main.entry.id }
         val inOtherDataCentres = others.filterNot { it.entry.dataCentre == main.entry.dataCentre }
         return leastLoaded(inOtherDataCentres.ifEmpty { others }, isEngine = true)
     }
@@ -38,14 +47,9 @@
     fun copyHolder(copy: KvCacheCopy?): UpstreamView? =
         copy?.let { state.upstreams[it.holder] }?.takeIf { it.isUp(now) }
 
-    /** Returns the upstreams that [call] may be sent to. */
-    fun usable(call: RoutedCall): List<UpstreamView> = state.upstreams.values.filter {
-        it.entry.service == call.service.name && it.isUsable(now)
-    }
-
     private fun leastLoaded(views: List<UpstreamView>, isEngine: Boolean): UpstreamView? =
         views.minByOrNull { view ->
-            val isUnpreferred = isEngine && !state.share.contains(view.entry.id)
+            val isUnpreferred = isEngine && !view.isPreferred
             val penalty = if (isUnpreferred) UNPREFERRED_LOAD else 0.0
             load(view) + penalty + random.nextDouble() * TIE_BREAK_SPREAD
         }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementEvent.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementEvent.kt
@@ -7,6 +7,7 @@
 import org.bilberrycart.gateway.model.AttemptKey
 import org.bilberrycart.gateway.model.CallFingerprint
 import org.bilberrycart.gateway.model.CallKey
+import org.bilberrycart.gateway.model.RetryUse
 import org.bilberrycart.gateway.model.RoutedCall
 import org.bilberrycart.gateway.model.ServiceName
 import org.bilberrycart.gateway.model.UpstreamAnswer
@@ -60,6 +61,7 @@
         val recentlyLost: PersistentMap<UpstreamId, Duration>,
         val crashes: PersistentMap<CallFingerprint, Set<UpstreamId>> = persistentMapOf(),
         val share: NodeShare = NodeShare(),
+        val retries: PersistentMap<ServiceName, RetryUse> = persistentMapOf(),
     ) : PlacementEvent()
 
     /** Upstream [id] runs at the address of [replaced]; [service] is null if it is unknown. */
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementFilter.kt
@@ -66,9 +66,14 @@
         event: PlacementEvent.PeerReport,
     ): PlacementState = state.copy(
         crashes = state.crashes.copy(reported = event.crashes),
-        share = event.share,
         nodeCount = maxOf(event.share.peers.size + 1, state.nodeCount ?: 1),
-    )
+        peerRetries = event.retries,
+    ).let { if (event.share == state.share) it else withShare(it, event.share) }
+
+    private fun withShare(state: PlacementState, share: NodeShare): PlacementState =
+        state.upstreams.values.fold(state.copy(share = share)) { next, view ->
+            next.with(view.copy(isPreferred = share.contains(view.entry.id)))
+        }
 
     private fun streamProgressed(
         state: PlacementState,
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementSettings.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementSettings.kt
@@ -8,7 +8,7 @@
  * Timeouts and limits of placement.
  *
  * @property retryWindow the period over which the retry budget counts dispatches.
- * @property retryRatio how many retries each first dispatch allows.
+ * @property retryRatio how many retries each first dispatch allows, over all nodes together.
  * @property retrySlack retries allowed beyond the ratio in a window, over all nodes together.
  * @property streamSilence how long a stream may be silent before its upstream is probed.
  * @property startSilence the same limit before the first event of a stream.
@@ -21,13 +21,15 @@
  *   each further one.
  * @property maxDownTime the upper limit of this time.
  * @property waitShare the fraction of the objective that a call may wait for a usable upstream.
+ * @property budgetWait how long a stream may wait for the retry budget, which is refilled within
+ *   seconds; it fails after that, so that its caller can come back.
  */
 public data class PlacementSettings(
     val retryWindow: Duration = 10.seconds,
-    val retryRatio: Double = 0.6,
+    val retryRatio: Double = 0.8,
     val retrySlack: Double = 150.0,
     val streamSilence: Duration = 220.milliseconds,
-    val startSilence: Duration = 400.milliseconds,
+    val startSilence: Duration = 800.milliseconds,
     val streamStall: Duration = 1500.milliseconds,
     val startStall: Double = 2.0,
     val probeTimeout: Duration = 150.milliseconds,
@@ -36,15 +38,5 @@
     val initialDownTime: Duration = 200.milliseconds,
     val maxDownTime: Duration = 800.milliseconds,
     val waitShare: Double = 0.9,
-) {
-    /** Returns this node's part of [retrySlack]; [nodeCount] is null while it is unknown. */
-    internal fun nodeRetrySlack(nodeCount: Int?): Double =
-        retrySlack / (UNKNOWN_NODES_FACTOR * maxOf(nodeCount ?: DEFAULT_NODES, MIN_NODES))
-
-    private companion object {
-        /** Allows for as many unknown nodes as known ones: nodes may be replaced unnoticed. */
-        const val UNKNOWN_NODES_FACTOR = 2
-        const val MIN_NODES = 4
-        const val DEFAULT_NODES = 32
-    }
-}
+    val budgetWait: Duration = 2.seconds,
+)
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementState.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementState.kt
@@ -5,6 +5,7 @@
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
 import org.bilberrycart.gateway.model.CallKey
+import org.bilberrycart.gateway.model.RetryUse
 import org.bilberrycart.gateway.model.ServiceName
 import org.bilberrycart.gateway.model.UpstreamId
 
@@ -14,7 +15,9 @@
  * @property crashes upstreams that crashed before they answered a call, by the call's content.
  * @property departed ids of removed upstreams, the latest last.
  * @property share the upstreams that this node prefers.
- * @property nodeCount how many nodes share the retry slack; null before any gossip was received.
+ * @property nodeCount the most nodes known at a time; null before any gossip was received.
+ * @property tickLag how late this node itself is.
+ * @property peerRetries the dispatches of all other nodes in the retry window, by service.
  */
 public data class PlacementState(
     val upstreams: PersistentMap<UpstreamId, UpstreamView> = persistentMapOf(),
@@ -24,6 +27,8 @@
     val departed: PersistentList<UpstreamId> = persistentListOf(),
     val share: NodeShare = NodeShare(),
     val nodeCount: Int? = null,
+    val peerRetries: PersistentMap<ServiceName, RetryUse> = persistentMapOf(),
+    val tickLag: TickLag = TickLag(),
     val seed: Long = 1,
 ) {
     /** Returns the load of this node's calls at each upstream, by [ActiveCall.loadOf]. */
@@ -31,6 +36,13 @@
         .flatMap { call -> call.attempts.values.map { it.upstream to call.loadOf(it) } }
         .groupingBy { it.first }.fold(0) { sum, (_, load) -> sum + load }
 
+    /** Returns what is known of the other nodes' retries for [service]. */
+    internal fun fleetRetries(service: ServiceName): FleetRetries = FleetRetries(
+        peers = peerRetries[service] ?: RetryUse(),
+        heardNodes = share.peers.size + 1,
+        knownNodes = nodeCount,
+    )
+
     internal fun with(view: UpstreamView): PlacementState =
         copy(upstreams = upstreams.put(view.entry.id, view))
 
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/RetryBudget.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/RetryBudget.kt
@@ -1,51 +1,88 @@
 package org.bilberrycart.gateway.placement
 
+import kotlin.math.floor
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Duration.Companion.milliseconds
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentList
+import org.bilberrycart.gateway.model.RetryUse
 
 /**
- * The retry budget of one service: counts dispatches by second over a sliding window.
+ * The retry budget of one service, which all nodes share: counts this node's dispatches over a
+ * sliding window of time slots.
+ *
+ * Each node has a fixed share of the budget that needs no news of the others. Beyond it, a node may
+ * use what the reports of all nodes show to be left, as long as each node could take an equal part
+ * of that before the next reports arrive.
  *
  * @property window the period over which dispatches are counted.
- * @property ratio how many retries each first dispatch allows.
+ * @property ratio how many retries each first dispatch allows, over all nodes.
  */
 public data class RetryBudget(
     val window: Duration,
     val ratio: Double,
-    private val seconds: PersistentList<Second> = persistentListOf(),
+    private val slots: PersistentList<Slot> = persistentListOf(),
 ) {
-    /** The number of dispatches in one second; [number] is the second. */
-    public data class Second(val number: Long, val firstDispatches: Int, val retries: Int)
-
-    /** Whether the budget allows one more retry at [now], with [slack] retries beyond the ratio. */
-    public fun allows(now: Duration, slack: Double): Boolean {
-        val recent = seconds.filter { it.number >= now.inWholeSeconds - window.inWholeSeconds }
-        return recent.sumOf { it.retries } + 1 <=
-            ratio * recent.sumOf { it.firstDispatches } + slack
+    /** The dispatches in the slot with [number], counted in units of [SLOT]. */
+    public data class Slot(val number: Long, val use: RetryUse)
+
+    /** Returns this node's dispatches in the window that ends at [now]. */
+    public fun use(now: Duration): RetryUse = useSince(now - window)
+
+    /**
+     * Whether the budget allows one more retry at [now], with [slack] retries beyond the ratio for
+     * all nodes together, of which the others have used [fleet].
+     */
+    public fun allows(now: Duration, fleet: FleetRetries, slack: Double): Boolean {
+        val own = use(now)
+        val total = own + fleet.peers
+        return total.retries + 1 <= (ratio * total.firstDispatches + slack) * TOTAL_PART &&
+            (isInOwnShare(own, fleet, slack) || isInFleetShare(now, total, fleet, slack))
     }
 
+    private fun isInOwnShare(own: RetryUse, fleet: FleetRetries, slack: Double): Boolean =
+        own.retries + 1 <= ratio * OWN_RATIO_PART * own.firstDispatches +
+            slack * OWN_SLACK_PART / fleet.nodes
+
+    private fun isInFleetShare(
+        now: Duration,
+        total: RetryUse,
+        fleet: FleetRetries,
+        slack: Double,
+    ): Boolean {
+        val limit = (ratio * total.firstDispatches + slack) * FLEET_PART * fleet.heardShare
+        val left = limit - total.retries
+        return useSince(now - fleet.reportDelay).retries + 1 <= left / fleet.nodes
+    }
+
+    private fun useSince(time: Duration): RetryUse =
+        slots.filter { it.number >= slotOf(time) }.fold(RetryUse()) { sum, slot -> sum + slot.use }
+
+    private fun slotOf(time: Duration): Long = floor(time / SLOT).toLong()
+
     /** Returns the budget with dispatches added at [now]; negative counts take them back. */
     public fun withDispatches(
         now: Duration,
         firstDispatches: Int = 0,
         retries: Int = 0,
     ): RetryBudget {
-        val number = now.inWholeSeconds
-        val current = seconds.lastOrNull()?.takeIf { it.number == number } ?: Second(number, 0, 0)
-        val counted = current.copy(
-            firstDispatches = current.firstDispatches + firstDispatches,
-            retries = current.retries + retries,
-        )
-        val kept = seconds.filter {
-            it.number != number && it.number >= number - (window + MARGIN).inWholeSeconds
-        }
-        return copy(seconds = (kept + counted).toPersistentList())
+        val number = slotOf(now)
+        val current = slots.lastOrNull()?.takeIf { it.number == number }?.use ?: RetryUse()
+        val counted = Slot(number, current + RetryUse(firstDispatches, retries))
+        val kept = slots.filter { it.number != number && it.number >= slotOf(now - window) }
+        return copy(slots = (kept + counted).toPersistentList())
     }
 
     private companion object {
-        val MARGIN = 1.seconds
+        val SLOT = 250.milliseconds
+
+        /** The parts of the budget; what is left over allows for late reports. */
+        const val TOTAL_PART = 0.9
+        const val FLEET_PART = 0.85
+        const val OWN_RATIO_PART = 0.75
+
+        /** Allows for as many unknown nodes as known ones: nodes may be replaced unnoticed. */
+        const val OWN_SLACK_PART = 0.5
     }
 }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/TimeoutChecks.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/TimeoutChecks.kt
@@ -7,15 +7,22 @@
 import org.bilberrycart.pipeline.Step
 import org.bilberrycart.pipeline.then
 
-/** Checks calls and upstreams on each tick: deadlines, hedges, probes and waiting calls. */
+/**
+ * Checks calls and upstreams on each tick: deadlines, hedges, probes and waiting calls.
+ *
+ * The limits of silence are extended by the lag of this node, see [TickLag].
+ */
 internal class TimeoutChecks(
     private val settings: PlacementSettings,
     private val callPlacement: CallPlacement,
     private val lossRecovery: LossRecovery,
 ) {
-    fun check(state: PlacementState, now: Duration): Step<PlacementState, PlacementAction> {
+    fun check(before: PlacementState, now: Duration): Step<PlacementState, PlacementAction> {
+        val tickLag = before.tickLag.after(now, hasCalls = before.calls.isNotEmpty())
+        val state = if (tickLag == before.tickLag) before else before.copy(tickLag = tickLag)
+        val probeTimeout = settings.probeTimeout + tickLag.lag
         val probed = state.upstreams.values
-            .filter { view -> view.probeSentAt?.let { now - it > settings.probeTimeout } == true }
+            .filter { view -> view.probeSentAt?.let { now - it > probeTimeout } == true }
             .fold(Step<PlacementState, PlacementAction>(state)) { step, view ->
                 step.then {
                     lossRecovery.upstreamDead(it, view.entry.id, "probe not answered", now)
@@ -57,8 +64,10 @@
             now,
             "waited ${waited.inWholeMilliseconds} ms",
         )
+        val after = placed.state.calls[call.call.key]
+        val hasNoUpstream = after?.isWaiting == true && after.overBudgetSince == null
         return when {
-            isTooLong && placed.state.calls[call.call.key]?.isWaiting == true ->
+            isTooLong && hasNoUpstream ->
                 CallCompletion.fail(state, call, "no upstream is free", now)
             else -> placed
         }
@@ -87,7 +96,7 @@
     ): Step<PlacementState, PlacementAction> {
         val attempt = call.attempts.values.first()
         val view = state.upstreams[attempt.upstream] ?: return Step(state)
-        val silence = now - attempt.lastSeenAt
+        val silence = now - attempt.lastSeenAt - state.tickLag.lag
         val stallLimit = when {
             attempt.hasEvents -> settings.streamStall
             else -> call.call.route.objective * settings.startStall
@@ -102,7 +111,7 @@
                     "silent for ${silence.inWholeMilliseconds} ms",
                     now,
                 )
-            silence > silenceLimit && now - view.lastSeenAt > silenceLimit ->
+            silence > silenceLimit && now - view.lastSeenAt - state.tickLag.lag > silenceLimit ->
                 probe(state, view, silence, now)
             else -> Step(state)
         }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/UpstreamRegistry.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/UpstreamRegistry.kt
@@ -55,7 +55,9 @@
                     isLeaving = false,
                     startedAtMillis = event.startedAtMillis,
                 )
-                state.with(UpstreamView(entry, isAdopted = true)).withActions(
+                val isPreferred = state.share.contains(entry.id)
+                val adopted = UpstreamView(entry, isAdopted = true, isPreferred = isPreferred)
+                state.with(adopted).withActions(
                     PlacementAction.UpstreamStatusChanged(
                         event.id,
                         "adopted",
@@ -79,15 +81,23 @@
         val known = state.upstreams[entry.id]
         return when {
             known == null || known.entry.startedAtMillis != entry.startedAtMillis ->
-                state.with(restartedView(entry, known))
+                state.with(restartedView(entry, known, state.share))
             known.isAdopted || known.entry != entry ->
                 state.with(known.copy(entry = entry, isAdopted = false, missingSince = null))
             else -> state
         }
     }
 
-    private fun restartedView(entry: UpstreamEntry, known: UpstreamView?): UpstreamView =
-        UpstreamView(entry, running = known?.running ?: 0, backups = known?.backups ?: 0)
+    private fun restartedView(
+        entry: UpstreamEntry,
+        known: UpstreamView?,
+        share: NodeShare,
+    ): UpstreamView = UpstreamView(
+        entry,
+        running = known?.running ?: 0,
+        backups = known?.backups ?: 0,
+        isPreferred = share.contains(entry.id),
+    )
 
     private fun removeUpstreams(state: PlacementState, gone: List<UpstreamView>): PlacementState {
         val known = (state.departed + gone.map { it.entry.id }).distinct().takeLast(MAX_DEPARTED)
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/UpstreamView.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/UpstreamView.kt
@@ -10,6 +10,7 @@
  *
  * @property running the number of this node's attempts in progress there.
  * @property backups the number of KV cache backups that this node's attempts keep there.
+ * @property isPreferred whether it is in this node's share, see [NodeShare].
  * @property peerLoad the load that other nodes last reported for it.
  * @property lastSeenAt when it last sent anything to this node.
  * @property downUntil until when it gets no calls; null while it is considered up.
@@ -25,6 +26,7 @@
     val entry: UpstreamEntry,
     val running: Int = 0,
     val backups: Int = 0,
+    val isPreferred: Boolean = true,
     val peerLoad: Int = 0,
     val lastSeenAt: Duration = Duration.ZERO,
     val downUntil: Duration? = null,
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/PlacementRun.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/PlacementRun.kt
@@ -1,6 +1,7 @@
 package org.bilberrycart.gateway.placement
 
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlinx.collections.immutable.toPersistentList
 import org.bilberrycart.gateway.Samples
 import org.bilberrycart.gateway.model.AttemptKey
@@ -23,6 +24,17 @@
         }.map(::describe)
     }
 
+    /** Lets [time] pass in ticks and returns what they bring about. */
+    fun advance(time: Duration): List<String> {
+        val end = now + time
+        return buildList {
+            while (now < end) {
+                now = minOf(end, now + TICK)
+                addAll(step(PlacementEvent.Tick))
+            }
+        }
+    }
+
     fun register(vararg ids: String): List<String> = step(
         PlacementEvent.UpstreamsListed(
             ids.map {
@@ -55,6 +67,8 @@
     }
 
     companion object {
+        private val TICK = 20.milliseconds
+
         fun attempt(number: Int = 1, call: Long = 1) = AttemptKey(CallKey(call), number)
     }
 }
--- a/library/src/main/kotlin/org/bilberrycart/timer/Ticker.kt
+++ b/library/src/main/kotlin/org/bilberrycart/timer/Ticker.kt
@@ -13,10 +13,17 @@
  */
 public class Ticker(private val period: Duration, private val targets: List<Target<*>>) :
     AutoCloseable {
-    /** A [ring] that receives the events that [tick] returns. */
-    public class Target<T : Any>(private val ring: Ring<T>, private val tick: () -> T) {
-        /** Offers one tick; returns whether the ring accepted it. */
-        public fun fire(): Boolean = ring.offer(tick())
+    /**
+     * A [ring] that receives the events that [tick] returns, in each period in which [isDue]
+     * returns true. A duty with nothing to do is not woken that way.
+     */
+    public class Target<T : Any>(
+        private val ring: Ring<T>,
+        private val isDue: () -> Boolean = { true },
+        private val tick: () -> T,
+    ) {
+        /** Offers one tick if it is due; returns whether the ring accepted it. */
+        public fun fire(): Boolean = isDue() && ring.offer(tick())
     }
 
     private val lock = ReentrantLock()
