--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/discovery/DiscoveryFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/discovery/DiscoveryFilter.kt
@@ -17,8 +17,12 @@
  * While the store is unavailable, upstreams that are alive cannot renew their rows. Rows that
  * disappear soon after the store has recovered are therefore retained until [ROW_RETENTION] after
  * the recovery.
+ *
+ * @property maxFollowDelay the longest delay by which changes of upstreams are batched; well below
+ *   the time for which a leaving upstream continues to serve.
  */
-public class DiscoveryFilter : Filter<DiscoveryState, DiscoveryEvent, DiscoveryAction> {
+public class DiscoveryFilter(private val maxFollowDelay: Duration = 750.milliseconds) :
+    Filter<DiscoveryState, DiscoveryEvent, DiscoveryAction> {
     override fun step(
         state: DiscoveryState,
         event: DiscoveryEvent,
@@ -200,7 +204,11 @@
      */
     private fun followDelay(table: StoreTable, peers: Int): Duration = when (table) {
         StoreTable.CONFIGURATION -> Duration.ZERO
-        StoreTable.UPSTREAMS -> minOf(FOLLOW_DELAY_PER_PEER * peers, MAX_FOLLOW_DELAY)
+        StoreTable.UPSTREAMS -> {
+            val perPeer =
+                if (peers <= SMALL_PEER_COUNT) FOLLOW_DELAY_PER_PEER else LONG_DELAY_PER_PEER
+            minOf(perPeer * peers, maxFollowDelay)
+        }
     }
 
     private fun tick(state: DiscoveryState, now: Duration): Step<DiscoveryState, DiscoveryAction> {
@@ -235,9 +243,10 @@
         val MAX_RETRY_DELAY = 500.milliseconds
 
         val FOLLOW_DELAY_PER_PEER = 25.milliseconds
+        const val SMALL_PEER_COUNT = 8
 
-        /** Well below the time for which a leaving upstream continues to serve. */
-        val MAX_FOLLOW_DELAY = 750.milliseconds
+        /** Used for more than [SMALL_PEER_COUNT] peers, which all pay for calls of the store. */
+        val LONG_DELAY_PER_PEER = 50.milliseconds
 
         /** The minimum time between two requests to peers for the same table. */
         val PEER_REQUEST_INTERVAL = 300.milliseconds
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/discovery/DiscoveryState.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/discovery/DiscoveryState.kt
@@ -17,4 +17,8 @@
             },
         ),
     val peers: Int = 0,
-)
+) {
+    /** Whether rows are retained that will expire. */
+    public val hasRetainedRows: Boolean
+        get() = feeds.values.any { it.retainedRows.isNotEmpty() }
+}
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DiscoverySink.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DiscoverySink.kt
@@ -2,7 +2,6 @@
 
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.seconds
 import org.bilberrycart.gateway.discovery.DiscoveryAction
 import org.bilberrycart.gateway.discovery.DiscoveryEvent
 import org.bilberrycart.gateway.discovery.RowCache
@@ -16,7 +15,11 @@
 import org.bilberrycart.gateway.placement.PlacementEvent
 import org.eclipse.jetty.util.thread.Scheduler
 
-/** Executes discovery's actions: calls the store and publishes the contents of its tables. */
+/**
+ * Executes discovery's actions: calls the store and publishes the contents of its tables.
+ *
+ * @property feedWait how long the store may hold a feed request until a change arrives.
+ */
 internal class DiscoverySink(
     private val rings: GatewayRings,
     private val store: StoreClient,
@@ -24,6 +27,7 @@
     private val scheduler: Scheduler,
     private val metrics: GatewayMetrics,
     private val log: DecisionLog,
+    private val feedWait: Duration,
     private val askPeer: (DiscoveryAction.AskPeer) -> Unit,
 ) : (DiscoveryAction) -> Unit {
     private var upstreams = RowCache()
@@ -33,7 +37,7 @@
             store.read(action.table, action.from) { onReply(action.table, it) }
         }
         is DiscoveryAction.Follow -> runAfter(action.delay) {
-            store.follow(action.table, action.version, FEED_WAIT) { onReply(action.table, it) }
+            store.follow(action.table, action.version, feedWait) { onReply(action.table, it) }
         }
         is DiscoveryAction.AskPeer -> askPeer(action)
         is DiscoveryAction.Publish -> publish(action)
@@ -66,9 +70,4 @@
             }
         }
     }
-
-    private companion object {
-        /** How long the store may hold a feed request until a change arrives. */
-        val FEED_WAIT = 2.seconds
-    }
 }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/GatewayNode.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/GatewayNode.kt
@@ -66,7 +66,7 @@
         Duty("entry", rings.entry, EntryState(seed = seed()), EntryFilter(), clock, ::onEntry)
     private val placementSettings = PlacementSettings(
         retryWindow = settings.repeatWindowSeconds.seconds,
-        retryRatio = settings.repeatRatio * RETRY_SHARE,
+        retryRatio = settings.repeatRatio,
         retrySlack = settings.repeatSlack,
     )
     private val placement = Duty(
@@ -98,9 +98,18 @@
         "discovery",
         rings.discovery,
         DiscoveryState(),
-        DiscoveryFilter(),
+        DiscoveryFilter(maxFollowDelay = settings.drainMillis.milliseconds / FOLLOWS_PER_DRAIN),
         clock,
-        DiscoverySink(rings, store, rows, client.scheduler, metrics, log, ::askPeer),
+        DiscoverySink(
+            rings,
+            store,
+            rows,
+            client.scheduler,
+            metrics,
+            log,
+            feedWait = maxOf(settings.contactMillis.milliseconds - 1.seconds, 1.seconds),
+            ::askPeer,
+        ),
     )
     private val lifecycle = Duty(
         "lifecycle",
@@ -120,11 +129,18 @@
         placementState = { placement.snapshot },
         discoveryState = { discovery.snapshot },
     )
+    private val idlePeriods = IdlePeriods(IDLE_TICKS)
     private val ticker = Ticker(
         TICK,
         listOf(
-            Ticker.Target(rings.placement) { PlacementEvent.Tick },
-            Ticker.Target(rings.discovery) { DiscoveryEvent.Tick },
+            Ticker.Target(
+                rings.placement,
+                isDue = idlePeriods.orWhen { placement.snapshot.calls.isNotEmpty() },
+            ) { PlacementEvent.Tick },
+            Ticker.Target(
+                rings.discovery,
+                isDue = idlePeriods.orWhen { discovery.snapshot.hasRetainedRows },
+            ) { DiscoveryEvent.Tick },
             peerLinks.tickTarget,
         ),
     )
@@ -211,10 +227,13 @@
 
     private companion object {
         const val SEED_FACTOR = 1_000_003L
-
-        /** The part that this node uses of the retry ratio for all nodes; the rest is a reserve. */
-        const val RETRY_SHARE = 0.75
         val TICK = 20.milliseconds
+
+        /** A duty without work gets one tick in this many. */
+        const val IDLE_TICKS = 16
+
+        /** Upstreams that begin to leave are known well before they stop serving. */
+        const val FOLLOWS_PER_DRAIN = 3
         val UPSTREAM_IDLE = 10.seconds
     }
 }
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/discovery/DiscoveryFilterTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/discovery/DiscoveryFilterTest.kt
@@ -60,6 +60,7 @@
                 nameFn = { (table, peers, followDelay) -> "$table, $peers peers: $followDelay" },
                 Triple(StoreTable.UPSTREAMS, 0, 0.milliseconds),
                 Triple(StoreTable.UPSTREAMS, 3, 75.milliseconds),
+                Triple(StoreTable.UPSTREAMS, 10, 500.milliseconds),
                 Triple(StoreTable.UPSTREAMS, 330, 750.milliseconds),
                 Triple(StoreTable.CONFIGURATION, 330, 0.milliseconds),
             ) { (table, peers, followDelay) ->
