Disconnect a caller whose one request takes bytes without end

Found by CallerFaultTest (a whole node, raw sockets): a chunk extension without end was read for ever, 64 MiB in the test, since Jetty limits only heads and the node only bodies. The connection now ends when one request takes more than its head's limit and eight times its body's limit; a body in chunks of one byte takes six times its length. Ruled out by the same test: endless first lines, header lines, bodies and trailers end within 5 MiB, most of it in socket buffers; a caller that does not read its stream is ended at the route's timeout. Seven cases, one failed before.

--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/http/CallerHandler.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/http/CallerHandler.kt
@@ -30,6 +30,7 @@
     override fun handle(request: Request, response: Response, callback: Callback): Boolean {
         val exchange = exchanges.begin(request, response, callback, shouldClose)
         request.addIdleTimeoutListener { false }
+        CloseWatch.beginRequest(request)
         val headers = request.headers.map { Header(it.name, it.value.orEmpty()) }
         val arrivedAt = clock.now()
         val target = request.httpURI.pathQuery.orEmpty()
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/http/CloseWatch.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/http/CloseWatch.kt
@@ -16,7 +16,8 @@
 import org.eclipse.jetty.util.thread.Scheduler
 
 /**
- * The endpoint of a caller's connection, which detects that the caller closes it during a request.
+ * The endpoint of a caller's connection, which detects that the caller closes it during a request
+ * and ends a connection on which one request takes more than [maxRequestBytes].
  *
  * Jetty reads nothing while it handles a request. From [Watch.begin] until the answer is complete,
  * this endpoint waits for input itself. Bytes of a following request that arrive meanwhile are
@@ -27,7 +28,10 @@
     selector: ManagedSelector,
     key: SelectionKey,
     scheduler: Scheduler,
+    private val maxRequestBytes: () -> Long,
 ) : SocketChannelEndPoint(channel, selector, key, scheduler) {
+    @Volatile private var requestBytes = 0L
+
     /** Guards the state of watches and each read, so that bytes keep their order. */
     private val lock = ReentrantLock()
     private var earlyBytes: ByteBuffer? = null
@@ -45,12 +49,21 @@
     }
 
     override fun fill(buffer: ByteBuffer): Int = lock.withLock {
-        val kept = earlyBytes ?: return super.fill(buffer)
+        val kept = earlyBytes ?: return checkLength(super.fill(buffer))
         val moved = BufferUtil.append(buffer, kept)
         if (!kept.hasRemaining()) earlyBytes = null
         moved
     }
 
+    private fun checkLength(count: Int): Int {
+        requestBytes += maxOf(0, count)
+        if (requestBytes > maxRequestBytes()) {
+            close()
+            throw IOException("request of more than $requestBytes bytes")
+        }
+        return count
+    }
+
     private fun hasEarlyBytes(): Boolean = lock.withLock { earlyBytes != null }
 
     private fun begin(watch: Watch) {
@@ -124,6 +137,11 @@
         private const val EARLY_READ_BYTES = 4096
         private const val END_OF_INPUT = -1
 
+        /** Begins to count the bytes of [request], whose head has been read. */
+        fun beginRequest(request: Request) {
+            (request.connectionMetaData.connection.endPoint as? CloseWatch)?.requestBytes = 0
+        }
+
         /**
          * Returns a watch that, once begun, calls [onClose] at most once if the caller of
          * [request], whose body has been read, closes the connection before its answer is complete.
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/http/CloseWatchConnector.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/http/CloseWatchConnector.kt
@@ -11,12 +11,17 @@
 /** A server connector whose connections use [CloseWatch]. */
 internal class CloseWatchConnector(server: Server, http: HttpConnectionFactory) :
     ServerConnector(server, null, null, null, ACCEPTORS, SELECTORS, http) {
+    /** How many bytes a request may take with all that frames its body. */
+    @Volatile var maxRequestBytes: Long = Long.MAX_VALUE
+
     override fun newEndPoint(
         channel: SocketChannel,
         selectSet: ManagedSelector,
         key: SelectionKey,
-    ): SocketChannelEndPoint = CloseWatch(channel, selectSet, key, scheduler).also {
-        it.idleTimeout = idleTimeout
+    ): SocketChannelEndPoint {
+        val endPoint = CloseWatch(channel, selectSet, key, scheduler) { maxRequestBytes }
+        endPoint.idleTimeout = idleTimeout
+        return endPoint
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/http/GatewayHttpServer.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/http/GatewayHttpServer.kt
@@ -1,6 +1,6 @@
 package org.bilberrycart.gateway.http
 
-import kotlin.time.Duration
+import org.bilberrycart.gateway.model.RequestLimits
 import org.eclipse.jetty.http.HttpCompliance
 import org.eclipse.jetty.http.UriCompliance
 import org.eclipse.jetty.server.ConnectionFactory
@@ -45,10 +45,11 @@
     /** Starts listening on all addresses. */
     fun start() = server.start()
 
-    /** Sets the idle time of callers' connections and the largest size of a request head. */
-    fun setLimits(idle: Duration, headerBytes: Int) {
-        callerConnector.idleTimeout = idle.inWholeMilliseconds
-        callerConfiguration.requestHeaderSize = headerBytes
+    /** Applies [limits] to new connections of callers. */
+    fun setLimits(limits: RequestLimits) {
+        callerConnector.idleTimeout = limits.idleTimeout.inWholeMilliseconds
+        callerConfiguration.requestHeaderSize = limits.headerBytes
+        callerConnector.maxRequestBytes = limits.headerBytes + limits.bodyBytes * FRAMING_FACTOR
     }
 
     /**
@@ -94,6 +95,8 @@
     }
 
     private companion object {
+        /** A body in chunks of a byte each takes six times its length. */
+        const val FRAMING_FACTOR = 8L
         const val MAX_THREADS = 10
         const val MIN_THREADS = 4
         const val ACCEPT_QUEUE = 512
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/GatewayNode.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/GatewayNode.kt
@@ -194,8 +194,7 @@
             is EntryAction.Refuse ->
                 exchanges.refuse(action.key, action.head.requestId, action.refusal)
             is EntryAction.ConfigurationApplied -> {
-                val limits = action.configuration.limits
-                httpServer.setLimits(limits.idleTimeout, limits.headerBytes)
+                httpServer.setLimits(action.configuration.limits)
                 rings.lifecycle.put(LifecycleEvent.Configured)
             }
         }
