--- a/daemon/src/main/kotlin/org/bilberrycart/daemon/RehearsalMain.kt
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/RehearsalMain.kt
@@ -43,7 +43,7 @@
     exitProcess(0)
 }
 
-/** Starts the stand-in of the platform, the node and its peer, and waits until the node is ready. */
+/** Starts the stand-in of the platform, the node and its peer; returns when the node is ready. */
 private fun rehearse(client: HttpClient): GatewaySettings {
     RehearsalPlatform(InetSocketAddress("127.0.0.1", STORE_PORT)).start()
     val settings = startNode()
