Look whether the caller has closed just before an attempt is sent

The close stands in the socket behind the request, but only the selector's thread reads it, which comes later than entry, placement and relay on such a machine; the request is sent on for nobody. Change: the relay's sink reads the caller's socket once, without waiting, before each send; bytes of a next request are kept. CloseWatchTest: four cases, "a close that the selector has not reported is seen by looking" states the rule.

--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/http/CallerExchange.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/http/CallerExchange.kt
@@ -23,6 +23,9 @@
     private val shouldClose: () -> Boolean,
     private val onEnd: () -> Unit = {},
 ) {
+    /** Tells whether the caller has closed its connection; null if that can't be told. */
+    @Volatile var watch: CloseWatch.Watch? = null
+
     private val lock = ReentrantLock()
     private var isOpen = false
     private var isWriting = false
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/http/CallerHandler.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/http/CallerHandler.kt
@@ -75,6 +75,7 @@
         val watch = CloseWatch.prepare(request) {
             if (exchanges.isOpen(event.key)) onCallerGone(event.key)
         }
+        exchange.watch = watch
         // The watch begins after the offer, so that the close follows the request into the ring.
         if (offerRequest(event)) {
             watch?.begin()
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/http/CloseWatch.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/http/CloseWatch.kt
@@ -85,7 +85,17 @@
     }
 
     private fun onClosed(watch: Watch) {
-        if (watch.deactivate()) watch.onClose()
+        if (!watch.deactivate()) return
+        watch.hasSeenClose = true
+        watch.onClose()
+    }
+
+    private fun hasClosed(watch: Watch): Boolean {
+        val count = lock.withLock {
+            if (watch.isActive && earlyBytes == null) readEarlyBytes() else 0
+        }
+        if (count < 0) onClosed(watch)
+        return watch.hasSeenClose
     }
 
     private fun readEarlyBytes(): Int {
@@ -105,6 +115,14 @@
         var isActive = true
             private set
 
+        @Volatile internal var hasSeenClose = false
+
+        /**
+         * Looks whether the caller has closed by now, without waiting for the selector's thread,
+         * which may be late on a machine that is short of processor time.
+         */
+        fun hasClosed(): Boolean = hasClosed(this)
+
         /** Starts to wait for the caller's close, unless the request has ended by now. */
         fun begin() = begin(this)
 
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/http/OpenExchanges.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/http/OpenExchanges.kt
@@ -37,6 +37,10 @@
     /** Returns whether the answer to the call with [key] is not complete yet. */
     public fun isOpen(key: CallKey): Boolean = exchanges.containsKey(key)
 
+    /** Returns whether the caller of the call with [key] has closed its connection. */
+    internal fun hasCallerClosed(key: CallKey): Boolean =
+        exchanges[key]?.watch?.hasClosed() ?: false
+
     internal fun add(key: CallKey, exchange: CallerExchange) {
         exchanges[key] = exchange
     }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/RelaySink.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/RelaySink.kt
@@ -16,7 +16,7 @@
     private val clock: Clock,
 ) : (RelayAction) -> Unit {
     override fun invoke(action: RelayAction): Unit = when (action) {
-        is RelayAction.Send -> upstreams.send(action.order, action.lastEvent)
+        is RelayAction.Send -> send(action)
         is RelayAction.Open -> {
             val elapsed = clock.now() - action.call.arrivedAt
             metrics.answered(action.call.organisation, elapsed)
@@ -32,4 +32,10 @@
         is RelayAction.Abort -> exchanges.abort(action.key, "broken off")
         is RelayAction.Report -> Unit.also { rings.placement.put(action.event) }
     }
+
+    /** Sends the attempt, unless its caller has left; placement hears of that from the watch. */
+    private fun send(action: RelayAction.Send) {
+        if (exchanges.hasCallerClosed(action.order.attempt.call)) return
+        upstreams.send(action.order, action.lastEvent)
+    }
 }
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/http/CloseWatchTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/http/CloseWatchTest.kt
@@ -28,6 +28,9 @@
     /** The caller closes its connection in both directions. */
     data object Close : Step()
 
+    /** The server looks whether the caller has closed, before its selector tells. */
+    data class Look(val hasClosed: Boolean) : Step()
+
     /** The caller closes only its sending side. */
     data object EndOutput : Step()
 
@@ -41,7 +44,12 @@
     data object ExpectNothing : Step()
 }
 
-private data class WatchCase(val name: String, val steps: List<Step>) : WithDataTestName {
+/** @property isWatching whether the selector watches; without it a close is seen by looking. */
+private data class WatchCase(
+    val name: String,
+    val steps: List<Step>,
+    val isWatching: Boolean = true,
+) : WithDataTestName {
     override fun dataTestName(): String = name
 }
 
@@ -53,9 +61,10 @@
 private val ANSWER = "x".toByteArray()
 
 /** Records each request and each caller that closes, and answers a request on demand. */
-private class WatchedServer : AutoCloseable {
+private class WatchedServer(isWatching: Boolean) : AutoCloseable {
     val events = LinkedBlockingQueue<String>()
     val open = LinkedBlockingQueue<() -> Unit>()
+    val watches = LinkedBlockingQueue<CloseWatch.Watch>()
     private val server = Server()
     private val connector = CloseWatchConnector(server, HttpConnectionFactory(HttpConfiguration()))
 
@@ -65,7 +74,9 @@
             override fun handle(request: Request, response: Response, callback: Callback): Boolean {
                 val path = request.httpURI.path
                 Content.Source.asByteArrayAsync(request, MAX_BODY_BYTES).whenComplete { _, _ ->
-                    CloseWatch.prepare(request) { events += "gone $path" }!!.begin()
+                    val watch = CloseWatch.prepare(request) { events += "gone $path" }!!
+                    if (isWatching) watch.begin()
+                    watches += watch
                     open += { response.write(true, ByteBuffer.wrap(ANSWER), callback) }
                     events += "request $path"
                 }
@@ -92,6 +103,11 @@
                 socket.setSoLinger(true, 0)
                 socket.close()
             }
+            is Step.Look -> {
+                Thread.sleep(QUIET_MILLIS)
+                server.watches.last().hasClosed() shouldBe step.hasClosed
+                Unit
+            }
             is Step.Expect -> {
                 server.events.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS) shouldBe step.event
                 Unit
@@ -122,6 +138,25 @@
                 "a caller that closes after its answer is not told of",
                 asked + Step.Answer + Step.Close + Step.ExpectNothing,
             ),
+            WatchCase(
+                "a caller that waits is not taken for one that has closed",
+                asked + Step.Look(false) + Step.Answer,
+                isWatching = false,
+            ),
+            WatchCase(
+                "a close that the selector has not reported is seen by looking",
+                asked + Step.Close + Step.Look(true) + Step.Expect("gone /a"),
+                isWatching = false,
+            ),
+            WatchCase(
+                "a close that the selector has reported is still seen by looking",
+                asked + Step.Close + Step.Expect("gone /a") + Step.Look(true),
+            ),
+            WatchCase(
+                "looking keeps a pipelined request",
+                asked + get("/b") + Step.Look(false) + Step.Answer + Step.Expect("request /b"),
+                isWatching = false,
+            ),
             WatchCase(
                 "a next request on the connection is read after the answer",
                 asked + Step.Answer + get("/b") + Step.Expect("request /b"),
@@ -137,7 +172,7 @@
             ),
         ) { case ->
             KnownRed.check("CloseWatchTest/${case.name}") {
-                WatchedServer().use { server ->
+                WatchedServer(case.isWatching).use { server ->
                     server.connect().use { socket ->
                         case.steps.forEach { run(server, socket, it) }
                     }
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/peers/PeersFilterTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/peers/PeersFilterTest.kt
@@ -8,6 +8,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.collections.immutable.persistentSetOf
+import org.bilberrycart.gateway.model.RetryUse
 
 private data class PeersCase(
     val name: String,
@@ -30,10 +31,30 @@
     members: List<String> = emptyList(),
     lossAges: Map<String, Int> = emptyMap(),
     crashes: Map<Long, List<String>> = emptyMap(),
+    retries: Int = 0,
 ) = PeersEvent.Received(
-    GossipMessage(sender, incarnation, sequence, members, loads, lossAges, crashes = crashes),
+    GossipMessage(
+        sender,
+        incarnation,
+        sequence,
+        members,
+        loads,
+        lossAges,
+        crashes = crashes,
+        retries = mapOf("s" to RetryUse(retries = retries)).filterValues { it.retries > 0 },
+    ),
 )
 
+/** Messages of peers, and the sum of retries that is known [wait] later. */
+private data class RetriesCase(
+    val name: String,
+    val messages: List<PeersEvent>,
+    val wait: Duration,
+    val retries: Int,
+) : WithDataTestName {
+    override fun dataTestName(): String = name
+}
+
 private val START = 1.seconds
 
 /** A tick also contacts the seed, from which no message was received. */
@@ -184,6 +205,65 @@
             ) { check(it) }
         }
 
+        context("the retries that peers report count against the budget") {
+            withData(
+                RetriesCase(
+                    "of all peers together",
+                    listOf(received("a:1", retries = 2), received("b:1", retries = 3)),
+                    wait = 1.seconds,
+                    retries = 5,
+                ),
+                RetriesCase(
+                    "of a peer that has restarted, with those of its new start",
+                    listOf(
+                        received("a:1", retries = 2),
+                        received("a:1", incarnation = 2, retries = 1),
+                    ),
+                    wait = 1.seconds,
+                    retries = 3,
+                ),
+                RetriesCase(
+                    "of a peer that has fallen silent",
+                    listOf(received("a:1", retries = 2)),
+                    wait = 9.seconds,
+                    retries = 2,
+                ),
+                RetriesCase(
+                    "no longer than the window of the budget after its silence",
+                    listOf(received("a:1", retries = 2)),
+                    wait = 12.seconds,
+                    retries = 0,
+                ),
+            ) { case ->
+                val filter = PeersFilter()
+                val first = PeersState("me:1", incarnation = 5)
+                val heard = case.messages.fold(first) { state, message ->
+                    filter.step(state, message, START).state
+                }
+                val last = generateSequence(START) { it + 0.5.seconds }
+                    .takeWhile { it <= START + case.wait }
+                    .fold(heard) { state, now -> filter.step(state, tick(), now).state }
+                (last.summary.retries["s"]?.retries ?: 0) shouldBe case.retries
+            }
+        }
+
+        context("a peer counts as silent only after it has missed several messages") {
+            withData(
+                nameFn = { (peers, isAlive) -> "$peers peers: alive $isAlive" },
+                10 to false,
+                100 to true,
+                330 to true,
+            ) { (peers, isAlive) ->
+                val filter = PeersFilter()
+                val first = PeersState("me:1", incarnation = 5)
+                val heard = (1..peers).fold(first) { state, number ->
+                    filter.step(state, received("p$number:1"), START).state
+                }
+                val later = filter.step(heard, tick(), START + 2.seconds).state
+                (later.peers.size == peers) shouldBe isAlive
+            }
+        }
+
         test("an encoded message is decoded unchanged") {
             val sent =
                 GossipMessage(
@@ -197,6 +277,7 @@
                         "T" to 9,
                     ),
                     mapOf(-3L to listOf("v")),
+                    mapOf("s" to RetryUse(firstDispatches = 4, retries = 1)),
                 )
             GossipCodec.decodeMessage(GossipCodec.encode(sent)) shouldBe sent
         }
