--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/http/CallerHandler.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/http/CallerHandler.kt
@@ -1,6 +1,7 @@
 package org.bilberrycart.gateway.http
 
 import java.util.concurrent.atomic.AtomicLong
+import kotlin.time.Duration.Companion.milliseconds
 import org.bilberrycart.gateway.entry.EntryEvent
 import org.bilberrycart.gateway.model.Body
 import org.bilberrycart.gateway.model.CallHead
@@ -95,6 +96,6 @@
 
     private companion object {
         /** How soon a caller should retry at a node whose entry queue is full. */
-        val QUEUE_FULL_RETRY_AFTER = kotlin.time.Duration.parse("0.5s")
+        val QUEUE_FULL_RETRY_AFTER = 500.milliseconds
     }
 }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/http/UpstreamClient.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/http/UpstreamClient.kt
@@ -25,6 +25,7 @@
 import org.eclipse.jetty.client.Request
 import org.eclipse.jetty.client.Result
 import org.eclipse.jetty.http.HttpStatus
+import org.eclipse.jetty.io.Connection
 
 /**
  * Sends calls to upstreams and reports their answers and failures.
@@ -109,7 +110,7 @@
         client.newRequest(upstream.host, upstream.port).onRequestCommit(::noteProgress)
 
     private fun noteProgress(request: Request) {
-        val connection = request.connection as? org.eclipse.jetty.io.Connection
+        val connection = request.connection as? Connection
         (connection?.endPoint as? ResetAwareEndPoint)?.noteProgress()
     }
 
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/PeerLinks.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/PeerLinks.kt
@@ -1,5 +1,6 @@
 package org.bilberrycart.gateway.node
 
+import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -71,7 +72,7 @@
     /** Requests a peer's copy of a table and passes it to discovery if it arrives. */
     fun requestTable(action: DiscoveryAction.AskPeer) {
         client.newRequest("http://${action.address}${StatusHandler.TABLE_PATH}${action.table.name}")
-            .timeout(TABLE_TIMEOUT.inWholeMilliseconds, java.util.concurrent.TimeUnit.MILLISECONDS)
+            .timeout(TABLE_TIMEOUT.inWholeMilliseconds, TimeUnit.MILLISECONDS)
             .send(object : BufferingResponseListener(MAX_TABLE_BYTES) {
                 override fun onComplete(result: Result) {
                     val copy = content?.takeIf { result.isSucceeded }?.let(GossipCodec::decodeTable)
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/http/CallerExchangeTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/http/CallerExchangeTest.kt
@@ -4,6 +4,7 @@
 import io.kotest.datatest.withData
 import io.kotest.engine.names.WithDataTestName
 import io.kotest.matchers.shouldBe
+import java.util.concurrent.CompletableFuture
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration.Companion.seconds
@@ -61,7 +62,7 @@
         }
 
         fun outcome(server: Server): String {
-            val seen = java.util.concurrent.CompletableFuture<String>()
+            val seen = CompletableFuture<String>()
             val port = (server.connectors.single() as ServerConnector).localPort
             client.newRequest("http://127.0.0.1:$port/").send(
                 object : BufferingResponseListener() {
