Keep a node that is short of processor time to its own share of the retry budget

With 0.12 of a core, reports of other nodes are seconds old when they are handled, so all nodes took the same rest of the budget. Ruled out: lost reports of nodes that are gone (counted), refused connections (taken back). Change: what all nodes share is closed to a node whose own ticks are late (TickLag); the whole is limited to 0.85 of the budget, the common part to 0.8. RetryBudgetTest "is closed to a node that handles reports late".

--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/FleetRetries.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/FleetRetries.kt
@@ -10,11 +10,13 @@
  * @property peers the sum of what they reported, a few hundred milliseconds old.
  * @property heardNodes the nodes that report at present, this one included.
  * @property knownNodes the most nodes known at a time; null before any gossip was received.
+ * @property isCurrent whether this node handles reports without delay, see [TickLag].
  */
 public data class FleetRetries(
     val peers: RetryUse = RetryUse(),
     val heardNodes: Int = 1,
     val knownNodes: Int? = null,
+    val isCurrent: Boolean = true,
 ) {
     /** The number of nodes among which the budget is divided. */
     internal val nodes: Int
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementState.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementState.kt
@@ -1,5 +1,6 @@
 package org.bilberrycart.gateway.placement
 
+import kotlin.time.Duration
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentListOf
@@ -41,6 +42,7 @@
         peers = peerRetries[service] ?: RetryUse(),
         heardNodes = share.peers.size + 1,
         knownNodes = nodeCount,
+        isCurrent = tickLag.lag == Duration.ZERO,
     )
 
     internal fun with(view: UpstreamView): PlacementState =
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/RetryBudget.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/RetryBudget.kt
@@ -14,7 +14,8 @@
  *
  * Each node has a fixed share of the budget that needs no news of the others. Beyond it, a node may
  * use what the reports of all nodes show to be left, as long as each node could take an equal part
- * of that before the next reports arrive.
+ * of that before the next reports arrive. A node that is short of processor time knows too little of
+ * the others for that and keeps to its share.
  *
  * @property window the period over which dispatches are counted.
  * @property ratio how many retries each first dispatch allows, over all nodes.
@@ -38,7 +39,11 @@
         val own = use(now)
         val total = own + fleet.peers
         return total.retries + 1 <= (ratio * total.firstDispatches + slack) * TOTAL_PART &&
-            (isInOwnShare(own, fleet, slack) || isInFleetShare(now, total, fleet, slack))
+            (
+                isInOwnShare(own, fleet, slack) ||
+                    fleet.isCurrent &&
+                    isInFleetShare(now, total, fleet, slack)
+                )
     }
 
     private fun isInOwnShare(own: RetryUse, fleet: FleetRetries, slack: Double): Boolean =
@@ -78,8 +83,8 @@
         val SLOT = 250.milliseconds
 
         /** The parts of the budget; what is left over allows for late reports. */
-        const val TOTAL_PART = 0.9
-        const val FLEET_PART = 0.85
+        const val TOTAL_PART = 0.85
+        const val FLEET_PART = 0.8
         const val OWN_RATIO_PART = 0.75
 
         /** Allows for as many unknown nodes as known ones: nodes may be replaced unnoticed. */
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/RetryBudgetTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/RetryBudgetTest.kt
@@ -16,6 +16,7 @@
     val heardNodes: Int = 1,
     val knownNodes: Int? = 4,
     val at: Int = 0,
+    val isCurrent: Boolean = true,
     val isAllowed: Boolean,
 ) : WithDataTestName {
     override fun dataTestName(): String = name
@@ -31,7 +32,7 @@
                 .withDispatches(0.seconds, retries = case.retries)
                 .allows(
                     case.at.seconds,
-                    FleetRetries(case.peers, case.heardNodes, case.knownNodes),
+                    FleetRetries(case.peers, case.heardNodes, case.knownNodes, case.isCurrent),
                     SLACK,
                 )
 
@@ -87,6 +88,14 @@
                     at = 2,
                     isAllowed = true,
                 ),
+                BudgetCase(
+                    "is closed to a node that handles reports late",
+                    retries = 60,
+                    heardNodes = 4,
+                    at = 2,
+                    isCurrent = false,
+                    isAllowed = false,
+                ),
                 BudgetCase(
                     "limits a burst to an equal part of what is left",
                     retries = 26,
