Name the parts of the retry budget's decision

Cause: the formatter had spread one condition over five lines, and a line of KDoc was too long. No behaviour changes; RetryBudgetTest and ZoneLossRetrySurgeTest pass.

--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/RetryBudget.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/RetryBudget.kt
@@ -14,8 +14,8 @@
  *
  * Each node has a fixed share of the budget that needs no news of the others. Beyond it, a node may
  * use what the reports of all nodes show to be left, as long as each node could take an equal part
- * of that before the next reports arrive. A node that is short of processor time knows too little of
- * the others for that and keeps to its share.
+ * of that before the next reports arrive. A node that is short of processor time knows too little
+ * of the others for that and keeps to its share.
  *
  * @property window the period over which dispatches are counted.
  * @property ratio how many retries each first dispatch allows, over all nodes.
@@ -38,12 +38,9 @@
     public fun allows(now: Duration, fleet: FleetRetries, slack: Double): Boolean {
         val own = use(now)
         val total = own + fleet.peers
-        return total.retries + 1 <= (ratio * total.firstDispatches + slack) * TOTAL_PART &&
-            (
-                isInOwnShare(own, fleet, slack) ||
-                    fleet.isCurrent &&
-                    isInFleetShare(now, total, fleet, slack)
-                )
+        val limit = (ratio * total.firstDispatches + slack) * TOTAL_PART
+        val mayShare = fleet.isCurrent && isInFleetShare(now, total, fleet, slack)
+        return total.retries + 1 <= limit && (mayShare || isInOwnShare(own, fleet, slack))
     }
 
     private fun isInOwnShare(own: RetryUse, fleet: FleetRetries, slack: Double): Boolean =
