Guard the watch's registration and its buffer with the one lock

Cause (found by reading the diff): the selector's thread could read a second time while bytes that a look had kept were not yet read, and overwrite them; and a watch that began just as its request was answered could leave its interest behind, which Jetty's next read would meet. Both are races between threads that the tests can't force. Change: one function reads only while watching and with nothing buffered; registering happens under the lock that ends the watch. CloseWatchTest: two more cases (a pipelined request in two parts around a look; a watch begun after its answer), 14 pass. The two passed before as well.

--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/http/CloseWatch.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/http/CloseWatch.kt
@@ -66,9 +66,9 @@
 
     private fun hasEarlyBytes(): Boolean = lock.withLock { earlyBytes != null }
 
-    private fun begin(watch: Watch) {
-        val mustRegister = lock.withLock { watch.isActive && earlyBytes == null }
-        if (mustRegister) super.tryFillInterested(watch)
+    /** Registers interest in input, under the lock so that [end] withdraws it or prevents it. */
+    private fun register(watch: Watch): Unit = lock.withLock {
+        if (watch.isActive && earlyBytes == null) super.tryFillInterested(watch)
     }
 
     /** Ends [watch] and withdraws its interest in input, which Jetty would take for its own. */
@@ -77,10 +77,10 @@
     }
 
     private fun onReadable(watch: Watch) {
-        val count = lock.withLock { if (watch.isActive) readEarlyBytes() else return }
+        val count = readIfWatching(watch) ?: return
         when {
             count < 0 -> onClosed(watch)
-            count == 0 -> super.tryFillInterested(watch)
+            count == 0 -> register(watch)
         }
     }
 
@@ -91,13 +91,16 @@
     }
 
     private fun hasClosed(watch: Watch): Boolean {
-        val count = lock.withLock {
-            if (watch.isActive && earlyBytes == null) readEarlyBytes() else 0
-        }
-        if (count < 0) onClosed(watch)
+        val count = readIfWatching(watch)
+        if (count != null && count < 0) onClosed(watch)
         return watch.hasSeenClose
     }
 
+    /** Returns the count of bytes read; null if [watch] has ended or bytes are buffered by now. */
+    private fun readIfWatching(watch: Watch): Int? = lock.withLock {
+        if (watch.isActive && earlyBytes == null) readEarlyBytes() else null
+    }
+
     private fun readEarlyBytes(): Int {
         val buffer = BufferUtil.allocate(EARLY_READ_BYTES)
         val count = try {
@@ -124,7 +127,7 @@
         fun hasClosed(): Boolean = hasClosed(this)
 
         /** Starts to wait for the caller's close, unless the request has ended by now. */
-        fun begin() = begin(this)
+        fun begin() = register(this)
 
         /** Makes the watch inactive; returns false if it was so already. */
         fun deactivate(): Boolean = lock.withLock { isActive.also { isActive = false } }
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/http/CloseWatchTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/http/CloseWatchTest.kt
@@ -31,6 +31,9 @@
     /** The server looks whether the caller has closed, before its selector tells. */
     data class Look(val hasClosed: Boolean) : Step()
 
+    /** The server begins the watch of its first request only now. */
+    data object BeginLate : Step()
+
     /** The caller closes only its sending side. */
     data object EndOutput : Step()
 
@@ -108,6 +111,7 @@
                 server.watches.last().hasClosed() shouldBe step.hasClosed
                 Unit
             }
+            Step.BeginLate -> server.watches.first().begin()
             is Step.Expect -> {
                 server.events.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS) shouldBe step.event
                 Unit
@@ -157,6 +161,18 @@
                 asked + get("/b") + Step.Look(false) + Step.Answer + Step.Expect("request /b"),
                 isWatching = false,
             ),
+            WatchCase(
+                "a pipelined request in two parts keeps both after a look",
+                asked + Step.Write("GET /b HTTP/1.1\r\n") + Step.Look(false) +
+                    Step.Write("Host: h\r\n\r\n") + Step.ExpectNothing + Step.Answer +
+                    Step.Expect("request /b"),
+            ),
+            WatchCase(
+                "a request that is answered before the watch begins leaves no watch behind",
+                asked + Step.Answer + Step.BeginLate + get("/b") + Step.Expect("request /b") +
+                    Step.Answer + Step.Close + Step.ExpectNothing,
+                isWatching = false,
+            ),
             WatchCase(
                 "a next request on the connection is read after the answer",
                 asked + Step.Answer + get("/b") + Step.Expect("request /b"),
