Keep more of the retry budget in reserve

All nodes had been killed and begun again, so none knew of the retries before, and an upstream that shed its load was asked again each 4 ms. Not mended: an upstream that has just shed is asked again at once, listed as open.

--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/RetryBudget.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/RetryBudget.kt
@@ -79,9 +79,12 @@
     private companion object {
         val SLOT = 250.milliseconds
 
-        /** The parts of the budget; what is left over allows for late reports. */
-        const val TOTAL_PART = 0.85
-        const val FLEET_PART = 0.8
+        /**
+         * The parts of the budget. What is left over allows for late reports, and for nodes that
+         * have all started anew and know nothing of the retries before.
+         */
+        const val TOTAL_PART = 0.7
+        const val FLEET_PART = 0.65
         const val OWN_RATIO_PART = 0.75
 
         /** Allows for as many unknown nodes as known ones: nodes may be replaced unnoticed. */
