End the build's rehearsal when it fails or hangs

Cause: a build beside another one on this machine hung for two minutes and more: the rehearsal's ports were taken, its main thread ended with the exception, and the HTTP client's threads kept the process alive.

--- a/daemon/src/main/kotlin/org/bilberrycart/daemon/RehearsalMain.kt
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/RehearsalMain.kt
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
+import kotlin.concurrent.thread
 import kotlin.system.exitProcess
 import kotlin.time.Duration.Companion.seconds
 import org.bilberrycart.gateway.http.HttpClients
@@ -20,18 +21,36 @@
 private const val STORE_PORT = 18742
 private const val REQUESTS = 100
 private const val STATUS_OK = 200
+private const val EXIT_FAILED = 1
 private const val READY_ATTEMPTS = 100
 private const val READY_POLL_MILLIS = 50L
 
 /** A second loopback address, for a peer of the node. */
 private const val PEER_HOST = "127.0.0.2"
 private val CLIENT_IDLE = 5.seconds
+private val TIME_LIMIT = 60.seconds
 
 /**
  * Starts a node and a peer, sends calls and streams through the node over loopback, and exits, so
  * that the build can archive the classes that a node loads (class data sharing).
  */
 fun main() {
+    limitTime()
+    val result = runCatching(::serveRequests)
+    result.onFailure { System.err.println("rehearsal: failed: $it") }
+    exitProcess(if (result.isSuccess) 0 else EXIT_FAILED)
+}
+
+/** Ends the process after [TIME_LIMIT], so that a rehearsal that hangs does not hold up a build. */
+private fun limitTime() {
+    thread(isDaemon = true, name = "rehearsal-limit") {
+        Thread.sleep(TIME_LIMIT.inWholeMilliseconds)
+        System.err.println("rehearsal: not done in $TIME_LIMIT")
+        Runtime.getRuntime().halt(EXIT_FAILED)
+    }
+}
+
+private fun serveRequests() {
     val client = HttpClients.start("rehearsal", CLIENT_IDLE)
     val settings = rehearse(client)
     listOf(RehearsalPlatform.CALL_PATH, RehearsalPlatform.STREAM_PATH).forEach { path ->
@@ -40,7 +59,6 @@
     }
     val metrics = "http://${settings.address}:${settings.metricsPort}/metrics"
     println("rehearsal: metrics returned ${client.GET(metrics).status}")
-    exitProcess(0)
 }
 
 /** Starts the stand-in of the platform, the node and its peer; returns when the node is ready. */
