Log the shared parts of a prompt and how far an attempt had come

The lines of an accepted call and of a crash name the shared parts (eight at most); the line of a crash tells whether the answer's head had arrived. Without them the hypotheses on BUDGET in docs/incidents/crashing-prompt-part.md cannot be told apart. No decision changes.

--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/model/CallHead.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/model/CallHead.kt
@@ -2,6 +2,7 @@
 
 import kotlin.time.Duration
 import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
 
 /**
  * The request line and the headers of a call, as the caller sent them.
@@ -13,6 +14,7 @@
  * @property timeLeft how long the caller waits for the answer, from arrival; null if not stated.
  * @property lastEvent the id of the last event that the caller received, if it resumes a stream.
  * @property tokens the declared sizes of the prompt and the output, in tokens, if any.
+ * @property sharedParts the parts of the prompt that other requests may share, in order.
  */
 public data class CallHead(
     val requestId: String,
@@ -24,6 +26,7 @@
     val timeLeft: Duration? = null,
     val lastEvent: Long? = null,
     val tokens: TokenCounts? = null,
+    val sharedParts: PersistentList<PromptPartId> = persistentListOf(),
 ) {
     /** The path without its query. */
     val path: String
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/model/Keys.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/model/Keys.kt
@@ -11,6 +11,10 @@
 @JvmInline
 public value class UpstreamId(public val value: String)
 
+/** The id of one part of a prompt; the same part has the same id in all requests. */
+@JvmInline
+public value class PromptPartId(public val value: String)
+
 /** The name of a service. */
 @JvmInline
 public value class ServiceName(public val value: String)
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DecisionLog.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DecisionLog.kt
@@ -5,6 +5,7 @@
 import org.bilberrycart.gateway.discovery.DiscoveryAction
 import org.bilberrycart.gateway.entry.EntryAction
 import org.bilberrycart.gateway.lifecycle.LifecycleAction
+import org.bilberrycart.gateway.model.CallHead
 import org.bilberrycart.gateway.peers.PeersAction
 import org.bilberrycart.gateway.placement.ActiveCall
 import org.bilberrycart.gateway.placement.PlacementAction
@@ -23,12 +24,14 @@
 
     fun entry(action: EntryAction) = when (action) {
         is EntryAction.Forward -> log.info(
-            "event=accepted request={} route={} service={} organisation={} configuration={}",
+            "event=accepted request={} route={} service={} organisation={} configuration={} " +
+                "prompt_parts={}",
             action.call.head.requestId,
             action.call.route.name,
             action.call.service.name.value,
             action.call.organisation,
             action.version,
+            partsText(action.call.head),
         )
         is EntryAction.Refuse -> log.info(
             "event=refused request={} code={} reason=\"{}\" configuration={}",
@@ -75,11 +78,14 @@
             action.pause.inWholeMilliseconds,
         )
         is PlacementAction.CrashRecorded -> log.info(
-            "event=broke_off_at_start request={} call={} upstream={} crashed_upstreams={}",
+            "event=broke_off_at_start request={} call={} upstream={} crashed_upstreams={} " +
+                "had_head={} prompt_parts={}",
             action.call.call.head.requestId,
             action.call.call.key.number,
-            action.upstream.value,
+            action.attempt.upstream.value,
             action.crashCount,
+            action.attempt.hasHead,
+            partsText(action.call.call.head),
         )
         is PlacementAction.Probe -> log.info(
             "event=probe upstream={} silent_ms={}",
@@ -165,7 +171,12 @@
         why,
     )
 
+    /** Returns the ids of the shared parts of a prompt, as far as the limit of a line allows. */
+    private fun partsText(head: CallHead): String =
+        head.sharedParts.take(MAX_LOGGED_PARTS).joinToString(",") { it.value }
+
     private companion object {
+        const val MAX_LOGGED_PARTS = 8
         val log = LoggerFactory.getLogger(DecisionLog::class.java)
     }
 }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementAction.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementAction.kt
@@ -34,12 +34,12 @@
         PlacementAction()
 
     /**
-     * Report that [upstream] crashed before it began to answer a call; [crashCount] upstreams have
-     * now crashed on calls with the same content.
+     * Report that the upstream of [attempt] crashed before it sent an event; [crashCount] upstreams
+     * have now crashed on calls with the same content.
      */
     public data class CrashRecorded(
         val call: ActiveCall,
-        val upstream: UpstreamId,
+        val attempt: Attempt,
         val crashCount: Int,
     ) : PlacementAction()
 
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementFilter.kt
@@ -57,7 +57,7 @@
         val crashes = state.crashes.withCrash(content, attempt.upstream, now)
         return state.copy(crashes = crashes)
             .withActions(
-                PlacementAction.CrashRecorded(call, attempt.upstream, crashes.crashCount(content)),
+                PlacementAction.CrashRecorded(call, attempt, crashes.crashCount(content)),
             )
     }
 
@@ -87,6 +87,7 @@
             ?: return Step(state.with(call.copy(isStreamOpen = true)))
         val updatedAttempt = attempt.copy(
             lastSeenAt = now,
+            hasHead = true,
             hasEvents = attempt.hasEvents || hasEvents,
         )
         val pausedSince = call.silentSince.takeIf { hasEvents }
