Block prompt parts that crash engines, over all nodes

Cause: the crash history counts by the whole request, and no two requests with the part are alike, so each could end four engines anew.

Fix: crashes just behind an answer's head are counted by the shared parts of the prompt. A part that gathers crashes and no answers is blocked, the one with most crashes first; calls with it are refused, those not begun are cancelled. Nodes merge what they know by gossip, so it outlives each of them.

--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DecisionLog.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DecisionLog.kt
@@ -77,16 +77,10 @@
             action.attempt.upstream.value,
             action.pause.inWholeMilliseconds,
         )
-        is PlacementAction.CrashRecorded -> log.info(
-            "event=broke_off_at_start request={} call={} upstream={} crashed_upstreams={} " +
-                "had_head={} prompt_parts={}",
-            action.call.call.head.requestId,
-            action.call.call.key.number,
-            action.attempt.upstream.value,
-            action.crashCount,
-            action.attempt.hasHead,
-            partsText(action.call.call.head),
-        )
+        is PlacementAction.CrashRecorded -> crashRecorded(action)
+        is PlacementAction.PartBlocked -> partBlocked(action)
+        is PlacementAction.PartReleased ->
+            log.info("event=prompt_part_released part={}", action.part.value)
         is PlacementAction.Probe -> log.info(
             "event=probe upstream={} silent_ms={}",
             action.upstream.id.value,
@@ -105,6 +99,23 @@
         )
     }
 
+    private fun crashRecorded(action: PlacementAction.CrashRecorded) = log.info(
+        "event=broke_off_at_start request={} call={} upstream={} crashed_upstreams={} " +
+            "had_head={} prompt_parts={}",
+        action.call.call.head.requestId,
+        action.call.call.key.number,
+        action.attempt.upstream.value,
+        action.crashCount,
+        action.attempt.headAt != null,
+        partsText(action.call.call.head),
+    )
+
+    private fun partBlocked(action: PlacementAction.PartBlocked) = log.info(
+        "event=prompt_part_blocked part={} crashed_upstreams={}",
+        action.part.value,
+        action.crashes.joinToString(",") { it.upstream.value },
+    )
+
     private fun callEnded(state: ActiveCall, event: String, why: String, now: Duration) = log.info(
         "event={} request={} call={} route={} organisation={} attempts={} may_have_run={} " +
             "losses={} elapsed_ms={} why=\"{}\"",
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/PeerLinks.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/PeerLinks.kt
@@ -4,6 +4,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlinx.collections.immutable.toPersistentList
 import kotlinx.collections.immutable.toPersistentMap
 import kotlinx.collections.immutable.toPersistentSet
 import org.bilberrycart.gateway.discovery.DiscoveryAction
@@ -118,6 +119,7 @@
             retries = state.budgets.entries.associate { (service, budget) ->
                 service.value to budget.use(now)
             },
+            parts = state.parts.toReport(now),
         )
     }
 
@@ -145,6 +147,7 @@
         }.toPersistentMap(),
         share = NodeShare(self, action.peers),
         retries = action.summary.retries.mapKeys { ServiceName(it.key) }.toPersistentMap(),
+        partReports = action.summary.partReports.toPersistentList(),
     )
 
     private companion object {
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/PlacementSink.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/PlacementSink.kt
@@ -45,6 +45,8 @@
             is PlacementAction.UpstreamStatusChanged,
             is PlacementAction.Resumed,
             is PlacementAction.CrashRecorded,
+            is PlacementAction.PartBlocked,
+            is PlacementAction.PartReleased,
             -> Unit
         }
     }
@@ -85,6 +87,8 @@
         is PlacementAction.Identify -> metrics.statusChanged("upstream", "asked_who")
         is PlacementAction.Resumed -> metrics.resumed(action.pause)
         is PlacementAction.CrashRecorded -> metrics.statusChanged("call", "broke_off_at_start")
+        is PlacementAction.PartBlocked -> metrics.statusChanged("prompt_part", "blocked")
+        is PlacementAction.PartReleased -> metrics.statusChanged("prompt_part", "released")
         is PlacementAction.Cancel -> Unit
     }
 
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/GossipMessage.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/GossipMessage.kt
@@ -3,6 +3,7 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.CborLabel
+import org.bilberrycart.gateway.model.PartReport
 import org.bilberrycart.gateway.model.RetryUse
 
 /**
@@ -17,6 +18,7 @@
  * @property crashes the upstreams that broke off when they began a call, by its fingerprint.
  * @property tableVersions the version that the sender has of each table, by name.
  * @property retries the sender's use of the retry budget of each service in the retry window.
+ * @property parts what the sender knows of prompt parts that may crash upstreams.
  */
 @Serializable
 public data class GossipMessage(
@@ -30,4 +32,5 @@
     @CborLabel(label = 8) @SerialName("strikes")
     val crashes: Map<Long, List<String>> = emptyMap(),
     @CborLabel(label = 9) val retries: Map<String, RetryUse> = emptyMap(),
+    @CborLabel(label = 10) val parts: PartReport = PartReport(),
 )
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeerSummary.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeerSummary.kt
@@ -1,5 +1,6 @@
 package org.bilberrycart.gateway.peers
 
+import org.bilberrycart.gateway.model.PartReport
 import org.bilberrycart.gateway.model.RetryUse
 
 /**
@@ -10,10 +11,12 @@
  * @property crashes the upstreams that broke off when they began a call, by its fingerprint.
  * @property retries their use of the retry budget of each service in the retry window; includes
  *   that of peers that were removed during the window.
+ * @property partReports what each peer that knows of any reports on parts that crash upstreams.
  */
 public data class PeerSummary(
     val loads: Map<String, Int> = emptyMap(),
     val lossAges: Map<String, Int> = emptyMap(),
     val crashes: Map<Long, Set<String>> = emptyMap(),
     val retries: Map<String, RetryUse> = emptyMap(),
+    val partReports: List<PartReport> = emptyList(),
 )
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeersEvent.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeersEvent.kt
@@ -1,5 +1,6 @@
 package org.bilberrycart.gateway.peers
 
+import org.bilberrycart.gateway.model.PartReport
 import org.bilberrycart.gateway.model.RetryUse
 
 /** The inputs of the peers filter. */
@@ -17,5 +18,6 @@
         val tableVersions: Map<String, Long>,
         val crashes: Map<Long, List<String>> = emptyMap(),
         val retries: Map<String, RetryUse> = emptyMap(),
+        val parts: PartReport = PartReport(),
     ) : PeersEvent()
 }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeersFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeersFilter.kt
@@ -113,6 +113,7 @@
         val isChanged = state.lastSent?.loads != event.loads ||
             state.lastSent.tableVersions != event.tableVersions ||
             state.lastSent.crashes != event.crashes ||
+            !state.lastSent.parts.hasSameSubjects(event.parts) ||
             event.lossAges.isNotEmpty()
         val interval = interval(state)
         val isEarly = now - state.lastSentAt <
@@ -148,6 +149,7 @@
             tableVersions = event.tableVersions,
             crashes = event.crashes,
             retries = event.retries,
+            parts = event.parts,
         )
         return Step(
             state.copy(sequence = message.sequence, lastSent = message),
@@ -169,6 +171,7 @@
             retries = (messages.map { it.retries } + state.departedRetries.map { it.retries })
                 .flatMap { it.entries }
                 .groupingBy { it.key }.fold(RetryUse()) { sum, entry -> sum + entry.value },
+            partReports = messages.map { it.parts }.filterNot { it.isEmpty },
         )
         val isSame = summary == state.summary && state.lossTimes.isEmpty()
         if (isSame && state.peers.keys == state.summarizedPeers) return Step(state)
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/Attempt.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/Attempt.kt
@@ -7,7 +7,7 @@
  * One dispatch of a call to an upstream that is still in progress.
  *
  * @property lastSeenAt when the upstream last sent something for this attempt; initially [sentAt].
- * @property hasHead whether the head of its answer has been received.
+ * @property headAt when the head of its answer was received; null before.
  * @property hasEvents whether an event of its stream has been received.
  * @property isRetry whether it was counted as a retry in the retry budget.
  * @property backup the upstream that receives a copy of its KV cache, if any.
@@ -17,7 +17,7 @@
     val upstream: UpstreamId,
     val sentAt: Duration,
     val lastSeenAt: Duration = sentAt,
-    val hasHead: Boolean = false,
+    val headAt: Duration? = null,
     val hasEvents: Boolean = false,
     val isRetry: Boolean = false,
     val backup: UpstreamId? = null,
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/CallPlacement.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/CallPlacement.kt
@@ -38,6 +38,14 @@
                 now,
                 retryAfter = SUSPECT_RETRY_AFTER,
             )
+            state.parts.blockedAmong(call.call.head.sharedParts, now) != null ->
+                CallCompletion.fail(
+                    waiting,
+                    call,
+                    "upstreams crash on a part of the prompt, $why",
+                    now,
+                    retryAfter = SUSPECT_RETRY_AFTER,
+                )
             !call.hasAttemptsLeft -> CallCompletion.fail(
                 waiting,
                 call,
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementAction.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementAction.kt
@@ -2,6 +2,7 @@
 
 import kotlin.time.Duration
 import org.bilberrycart.gateway.model.AttemptKey
+import org.bilberrycart.gateway.model.PromptPartId
 import org.bilberrycart.gateway.model.Refusal
 import org.bilberrycart.gateway.model.UpstreamAnswer
 import org.bilberrycart.gateway.model.UpstreamEntry
@@ -43,6 +44,13 @@
         val crashCount: Int,
     ) : PlacementAction()
 
+    /** Report that calls whose prompts contain [part] are refused because of [crashes]. */
+    public data class PartBlocked(val part: PromptPartId, val crashes: List<PartCrash>) :
+        PlacementAction()
+
+    /** Report that calls whose prompts contain [part] are no longer refused. */
+    public data class PartReleased(val part: PromptPartId) : PlacementAction()
+
     /** Probe the health of an upstream that has been silent for [silentMillis]. */
     public data class Probe(val upstream: UpstreamEntry, val silentMillis: Long) :
         PlacementAction()
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementEvent.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementEvent.kt
@@ -3,10 +3,12 @@
 import kotlin.time.Duration
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
 import org.bilberrycart.gateway.model.AttemptKey
 import org.bilberrycart.gateway.model.CallFingerprint
 import org.bilberrycart.gateway.model.CallKey
+import org.bilberrycart.gateway.model.PartReport
 import org.bilberrycart.gateway.model.RetryUse
 import org.bilberrycart.gateway.model.RoutedCall
 import org.bilberrycart.gateway.model.ServiceName
@@ -55,6 +57,8 @@
      * @property recentlyLost how long ago other nodes lost an upstream.
      * @property crashes upstreams that crashed before they answered a call, by the call's content.
      * @property share this node and the other nodes that it has heard from.
+     * @property retries the dispatches of all other nodes in the retry window, by service.
+     * @property partReports what other nodes report on prompt parts that may crash upstreams.
      */
     public data class PeerReport(
         val loads: PersistentMap<UpstreamId, Int>,
@@ -62,6 +66,7 @@
         val crashes: PersistentMap<CallFingerprint, Set<UpstreamId>> = persistentMapOf(),
         val share: NodeShare = NodeShare(),
         val retries: PersistentMap<ServiceName, RetryUse> = persistentMapOf(),
+        val partReports: PersistentList<PartReport> = persistentListOf(),
     ) : PlacementEvent()
 
     /** Upstream [id] runs at the address of [replaced]; [service] is null if it is unknown. */
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementFilter.kt
@@ -29,7 +29,9 @@
         is PlacementEvent.Answered -> answerHandling.handle(state, event.attempt, event.answer, now)
         is PlacementEvent.Unsent -> lossRecovery.unsent(state, event.attempt, event.cause, now)
         is PlacementEvent.AttemptFailed -> recordCrash(state, event.attempt, now)
+            .then { PartChecks.attemptFailed(it, event.attempt, now) }
             .then { lossRecovery.attemptFailed(it, event.attempt, event.cause, now) }
+            .then { PartChecks.failUnbegun(state.parts, it, now) }
         is PlacementEvent.StreamOpened ->
             streamProgressed(state, event.attempt, now, hasEvents = false)
         is PlacementEvent.StreamProgressed ->
@@ -40,7 +42,10 @@
         is PlacementEvent.Identified -> UpstreamRegistry.applyIdentification(state, event)
         is PlacementEvent.Probed -> probed(state, event, now)
         is PlacementEvent.PeerReport ->
-            Step(withPeerLoads(withPeerReport(state, event), event, now))
+            Step<PlacementState, PlacementAction>(
+                withPeerLoads(withPeerReport(state, event), event, now),
+            ).then { PartChecks.reported(it, event.partReports, now) }
+                .then { PartChecks.failUnbegun(state.parts, it, now) }
         PlacementEvent.Tick ->
             UpstreamRegistry.removeExpired(state, now).then { timeoutChecks.check(it, now) }
     }
@@ -87,7 +92,7 @@
             ?: return Step(state.with(call.copy(isStreamOpen = true)))
         val updatedAttempt = attempt.copy(
             lastSeenAt = now,
-            hasHead = true,
+            headAt = attempt.headAt ?: now,
             hasEvents = attempt.hasEvents || hasEvents,
         )
         val pausedSince = call.silentSince.takeIf { hasEvents }
@@ -102,8 +107,8 @@
             answered.with(next).update(attempt.upstream) { it.withSignOfLife(now) },
             listOfNotNull(
                 pausedSince?.let { PlacementAction.Resumed(next, updatedAttempt, now - it) },
-            ).toPersistentList(),
-        )
+            ).toPersistentList<PlacementAction>(),
+        ).then { PartChecks.streamProgressed(it, next, attempt, now) }
     }
 
     private fun streamCompleted(
@@ -114,7 +119,9 @@
         val call = state.calls[key.call] ?: return Step(state)
         val attempt = call.attempts[key.number] ?: return Step(state)
         val seen = state.update(attempt.upstream) { it.withSignOfLife(now) }
-        return CallCompletion.forget(seen, call, "stream complete", finishedAttempt = key.number)
+        return PartChecks.answered(seen, call, now).then {
+            CallCompletion.forget(it, call, "stream complete", finishedAttempt = key.number)
+        }
     }
 
     private fun probed(
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementState.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementState.kt
@@ -14,6 +14,7 @@
  * The state of placement: upstreams, calls in progress and the use of the retry budgets.
  *
  * @property crashes upstreams that crashed before they answered a call, by the call's content.
+ * @property parts what is known of prompt parts that crash upstreams.
  * @property departed ids of removed upstreams, the latest last.
  * @property share the upstreams that this node prefers.
  * @property nodeCount the most nodes known at a time; null before any gossip was received.
@@ -25,6 +26,7 @@
     val calls: PersistentMap<CallKey, ActiveCall> = persistentMapOf(),
     val budgets: PersistentMap<ServiceName, RetryBudget> = persistentMapOf(),
     val crashes: CrashHistory = CrashHistory(),
+    val parts: PartHistory = PartHistory(),
     val departed: PersistentList<UpstreamId> = persistentListOf(),
     val share: NodeShare = NodeShare(),
     val nodeCount: Int? = null,
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/Samples.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/Samples.kt
@@ -4,11 +4,13 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
 import org.bilberrycart.gateway.model.AnswerHead
 import org.bilberrycart.gateway.model.Body
 import org.bilberrycart.gateway.model.CallHead
 import org.bilberrycart.gateway.model.CallKey
 import org.bilberrycart.gateway.model.EngineCapabilities
+import org.bilberrycart.gateway.model.PromptPartId
 import org.bilberrycart.gateway.model.RetryRule
 import org.bilberrycart.gateway.model.RouteRule
 import org.bilberrycart.gateway.model.RoutedCall
@@ -23,13 +25,15 @@
 object Samples {
     val desk = ServiceName("desk")
 
-    fun head(id: String = "r1", path: String = "/a/x") = CallHead(
-        requestId = id,
-        method = "POST",
-        target = path,
-        host = "club.example",
-        headers = persistentListOf(),
-    )
+    fun head(id: String = "r1", path: String = "/a/x", parts: List<String> = emptyList()) =
+        CallHead(
+            requestId = id,
+            method = "POST",
+            target = path,
+            host = "club.example",
+            headers = persistentListOf(),
+            sharedParts = parts.map(::PromptPartId).toPersistentList(),
+        )
 
     fun route(
         retryRule: RetryRule,
@@ -60,10 +64,12 @@
         key: Long = 1,
         hasBackups: Boolean = false,
         arrivedAt: Duration = Duration.ZERO,
+        parts: List<String> = emptyList(),
+        body: Body = Body.EMPTY,
     ) = RoutedCall(
         key = CallKey(key),
-        head = head("r$key"),
-        body = Body.EMPTY,
+        head = head("r$key", parts = parts),
+        body = body,
         route = route,
         service = service(hasBackups),
         organisation = "club",
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/peers/PeersFilterTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/peers/PeersFilterTest.kt
@@ -8,6 +8,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.collections.immutable.persistentSetOf
+import org.bilberrycart.gateway.model.PartReport
 import org.bilberrycart.gateway.model.RetryUse
 
 private data class PeersCase(
@@ -32,6 +33,7 @@
     lossAges: Map<String, Int> = emptyMap(),
     crashes: Map<Long, List<String>> = emptyMap(),
     retries: Int = 0,
+    parts: PartReport = PartReport(),
 ) = PeersEvent.Received(
     GossipMessage(
         sender,
@@ -42,6 +44,7 @@
         lossAges,
         crashes = crashes,
         retries = mapOf("s" to RetryUse(retries = retries)).filterValues { it.retries > 0 },
+        parts = parts,
     ),
 )
 
@@ -69,6 +72,8 @@
                 "summary ${action.summary.loads} of ${action.peers.size}",
                 action.summary.lossAges.takeIf { it.isNotEmpty() }?.let { "lost $it" },
                 action.summary.crashes.takeIf { it.isNotEmpty() }?.let { "crashes $it" },
+                action.summary.partReports.flatMap { it.blockedAges.keys }
+                    .takeIf { it.isNotEmpty() }?.let { "blocked $it" },
             ).joinToString(" ")
             is PeersAction.TableVersions -> "tables"
             is PeersAction.PeerStatusChanged -> if (action.isAlive) "alive" else "silent"
@@ -151,6 +156,20 @@
                     last = tick(),
                     actions = listOf("summary {} of 1 lost {u=80}", "send a:1 {}", CONTACTED),
                 ),
+                PeersCase(
+                    "reports on prompt parts are passed on, empty ones left out",
+                    listOf(
+                        received("a:1", parts = PartReport(blockedAges = mapOf("p" to 5))),
+                        received("b:1"),
+                        received("c:1", parts = PartReport(blockedAges = mapOf("q" to 5))),
+                    ),
+                    last = tick(),
+                    actions = listOf(
+                        "summary {} of 3 blocked [p, q]",
+                        "send a:1+b:1+c:1 {}",
+                        CONTACTED,
+                    ),
+                ),
                 PeersCase(
                     "crashes of calls with one fingerprint are combined",
                     listOf(
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/PlacementRun.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/PlacementRun.kt
@@ -20,7 +20,9 @@
         state = step.state
         return step.actions.filterNot {
             it is PlacementAction.UpstreamStatusChanged ||
-                it is PlacementAction.CrashRecorded
+                it is PlacementAction.CrashRecorded ||
+                it is PlacementAction.PartBlocked ||
+                it is PlacementAction.PartReleased
         }.map(::describe)
     }
 
@@ -64,6 +66,8 @@
         is PlacementAction.Identify -> "identify ${action.id.value}"
         is PlacementAction.UpstreamStatusChanged -> action.status
         is PlacementAction.CrashRecorded -> "crashes ${action.crashCount}"
+        is PlacementAction.PartBlocked -> "blocked ${action.part.value}"
+        is PlacementAction.PartReleased -> "released ${action.part.value}"
     }
 
     companion object {
