Read and log the rate limits that upstreams name

The head of an answer carries the limit; placement keeps the latest of each upstream and logs upstream_limited and upstream_unlimited. Nothing else reads it yet.

--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/model/UpstreamAnswer.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/model/UpstreamAnswer.kt
@@ -13,6 +13,8 @@
  * @property didNotRun whether the upstream states that it has not run the call.
  * @property isMisdirected whether another upstream answered than the call was sent to.
  * @property upstream the id of the upstream that answered, if it is stated.
+ * @property rateLimit the requests a second that the upstream takes from all nodes together, if it
+ *   names a limit.
  * @property closesConnection whether the upstream closes the connection after this answer.
  */
 public data class AnswerHead(
@@ -24,6 +26,7 @@
     val isMisdirected: Boolean,
     val closesConnection: Boolean = false,
     val upstream: UpstreamId? = null,
+    val rateLimit: Double? = null,
 ) {
     /** Whether the status is in the 2xx range. */
     val isSuccess: Boolean
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementEvent.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementEvent.kt
@@ -34,8 +34,12 @@
     /** The attempt failed after the call may have reached the upstream. */
     public data class AttemptFailed(val attempt: AttemptKey, val cause: String) : PlacementEvent()
 
-    /** The response head of a stream from [attempt] went to the caller. */
-    public data class StreamOpened(val attempt: AttemptKey) : PlacementEvent()
+    /**
+     * The response head of a stream from [attempt] went to the caller; [rateLimit] is the limit
+     * that it names, in requests a second of all nodes.
+     */
+    public data class StreamOpened(val attempt: AttemptKey, val rateLimit: Double? = null) :
+        PlacementEvent()
 
     /** An event of a stream went to the caller. */
     public data class StreamProgressed(val attempt: AttemptKey) : PlacementEvent()
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementFilter.kt
@@ -26,14 +26,15 @@
         is PlacementEvent.CallerGone ->
             state.calls[event.key]?.let { CallCompletion.forget(state, it, "caller gone") }
                 ?: Step(state)
-        is PlacementEvent.Answered -> answerHandling.handle(state, event.attempt, event.answer, now)
+        is PlacementEvent.Answered -> answered(state, event, now)
         is PlacementEvent.Unsent -> lossRecovery.unsent(state, event.attempt, event.cause, now)
         is PlacementEvent.AttemptFailed -> recordCrash(state, event.attempt, now)
             .then { PartChecks.attemptFailed(it, event.attempt, now) }
             .then { lossRecovery.attemptFailed(it, event.attempt, event.cause, now) }
             .then { PartChecks.failUnbegun(state.parts, it, now) }
         is PlacementEvent.StreamOpened ->
-            streamProgressed(state, event.attempt, now, hasEvents = false)
+            RateLimits.answered(state, event.attempt, event.rateLimit)
+                .then { streamProgressed(it, event.attempt, now, hasEvents = false) }
         is PlacementEvent.StreamProgressed ->
             streamProgressed(state, event.attempt, now, hasEvents = true)
         is PlacementEvent.StreamCompleted -> streamCompleted(state, event.attempt, now)
@@ -50,6 +51,19 @@
             UpstreamRegistry.removeExpired(state, now).then { timeoutChecks.check(it, now) }
     }
 
+    private fun answered(
+        state: PlacementState,
+        event: PlacementEvent.Answered,
+        now: Duration,
+    ): Step<PlacementState, PlacementAction> {
+        val head = event.answer.head
+        val limited = when {
+            head.isMisdirected -> Step(state)
+            else -> RateLimits.answered(state, event.attempt, head.rateLimit)
+        }
+        return limited.then { answerHandling.handle(it, event.attempt, event.answer, now) }
+    }
+
     /** Records a crash if the upstream of attempt [key] failed before it sent an event. */
     private fun recordCrash(
         state: PlacementState,
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/UpstreamView.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/UpstreamView.kt
@@ -19,6 +19,7 @@
  * @property isAdopted whether it was found at another's address and is not yet in the registry.
  * @property missingSince since when registry listings lack it, if it is adopted.
  * @property isReplaced whether another upstream answered at its address.
+ * @property rateLimit the limit that it named in its last answer; null if it named none.
  * @property probeSentAt when the pending probe was sent; null without one.
  * @property lastProbedAt when the last probe was sent.
  */
@@ -36,6 +37,7 @@
     val isAdopted: Boolean = false,
     val missingSince: Duration? = null,
     val isReplaced: Boolean = false,
+    val rateLimit: Double? = null,
     val probeSentAt: Duration? = null,
     val lastProbedAt: Duration? = null,
 ) {
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/relay/RelayFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/relay/RelayFilter.kt
@@ -45,7 +45,9 @@
     private fun opened(state: RelayState, event: RelayEvent.Opened): Step<RelayState, RelayAction> {
         val stream = streamOf(state, event.attempt)
             ?: return state.withActions(RelayAction.Drop(event.attempt))
-        val report = RelayAction.Report(PlacementEvent.StreamOpened(event.attempt))
+        val report = RelayAction.Report(
+            PlacementEvent.StreamOpened(event.attempt, event.head.rateLimit),
+        )
         return when {
             stream.isOpen -> state.withActions(report)
             else -> state.with(stream.copy(isOpen = true)).withActions(
