Divide the rate limit that an upstream names among the nodes

Cause: placement knew no limit that an upstream sets for all nodes together; each node chose by load alone. A resource that all share was used by each node by what it sees alone.

Fix: each node sends its part of the limit, first attempts, retries, hedges and resumes alike. A limit below the number of nodes goes to some of them, the same ones by every node's reckoning; the others try one after the other whether it has ended. A call that all limits would let go too late is rejected at once, with the time of the next request as Retry-After. The place of a node in the hash order of an upstream is kept beside it and replaces isPreferred.

--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/CallPlacement.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/CallPlacement.kt
@@ -1,6 +1,7 @@
 package org.bilberrycart.gateway.placement
 
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.collections.immutable.persistentListOf
 import org.bilberrycart.gateway.model.AttemptKey
@@ -80,6 +81,37 @@
         }
     }
 
+    /**
+     * Keeps [call] waiting for an upstream, or rejects it at once if the rate limits of all of them
+     * will not let it be sent in time.
+     */
+    private fun awaitUpstream(
+        state: PlacementState,
+        call: ActiveCall,
+        selector: LeastLoadedSelector,
+        now: Duration,
+        why: String,
+    ): Step<PlacementState, PlacementAction> {
+        val quotaWait = selector.quotaWait(ahead = callsBefore(state, call)) ?: return Step(state)
+        val latest = call.call.arrivedAt + call.call.route.objective * settings.waitShare
+        if (call.isStreamOpen || now + quotaWait <= latest) return Step(state)
+        return CallCompletion.fail(
+            state,
+            call,
+            "all upstreams are at their rate limits, $why",
+            now,
+            retryAfter = quotaWait.coerceIn(MIN_RETRY_AFTER, MAX_RETRY_AFTER),
+        )
+    }
+
+    /** Returns how many calls to the same service have waited longer than [call]. */
+    private fun callsBefore(state: PlacementState, call: ActiveCall): Int =
+        state.calls.values.count {
+            it.isWaiting &&
+                it.call.service.name == call.call.service.name &&
+                it.call.arrivedAt < call.call.arrivedAt
+        }
+
     private fun describeBudget(state: PlacementState, call: ActiveCall, now: Duration): String {
         val service = call.call.service.name
         val own = budget(state, service).use(now)
@@ -140,7 +172,8 @@
     ): Step<PlacementState, PlacementAction> {
         val selector = LeastLoadedSelector(state, call.call.service.name, now)
         val holder = selector.copyHolder(call.kvCacheCopy)
-        val main = holder ?: selector.choose(call) ?: return Step(state)
+        val main = holder ?: selector.choose(call)
+            ?: return awaitUpstream(state, call, selector, now, why)
         val backup = when (call.call.route.retryRule) {
             is RetryRule.Stream -> selector.chooseBackup(call.call, main)
             RetryRule.Idempotent, RetryRule.AtMostOnce -> null
@@ -180,11 +213,14 @@
             else -> budgetBefore
         }
         val next = state.with(updatedCall).withAttemptCounted(attempt, +1)
+            .withQuotaSpent(main, now)
             .copy(budgets = state.budgets.put(service, counted), seed = selector.nextSeed)
         return Step(next, persistentListOf(PlacementAction.Send(order, why)))
     }
 
     private companion object {
         val SUSPECT_RETRY_AFTER = 30.seconds
+        val MIN_RETRY_AFTER = 250.milliseconds
+        val MAX_RETRY_AFTER = 30.seconds
     }
 }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/LeastLoadedSelector.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/LeastLoadedSelector.kt
@@ -11,17 +11,35 @@
 /** Selects the least loaded usable upstream for a call, or for the backup of its KV cache. */
 internal class LeastLoadedSelector(
     private val state: PlacementState,
-    service: ServiceName,
+    private val service: ServiceName,
     private val now: Duration,
 ) {
     private val random = Random(state.seed)
     private val loads = state.loads()
 
-    /** The upstreams of the service that may be selected. */
-    val usable: List<UpstreamView> = state.upstreams.values.filter {
+    private val available: List<UpstreamView> = state.upstreams.values.filter {
         it.entry.service == service && it.isUsable(now)
     }
 
+    /** The upstreams of the service that may be selected. */
+    val usable: List<UpstreamView> = available.filter { state.quotaWait(it, now) == ZERO }
+
+    /**
+     * Returns how long the rate limits of all upstreams delay a call, if this node has [ahead]
+     * others to send before it; null if the service has no upstream. One that is down for a moment
+     * counts too.
+     */
+    fun quotaWait(ahead: Int): Duration? {
+        val known = state.upstreams.values.filter {
+            it.entry.service == service && !it.entry.isLeaving && !it.isReplaced
+        }
+        val first = known.minOfOrNull { state.quotaWait(it, now) } ?: return null
+        val rate = known.sumOf { view ->
+            view.rateLimit?.let { state.quota(view, it.perSecond).perSecond } ?: 0.0
+        }
+        return if (ahead == 0 || first == ZERO) first else first + (ahead / rate).seconds
+    }
+
     /** The seed for the next selector; changes with each read. */
     val nextSeed: Long
         get() = random.nextLong()
@@ -38,14 +56,14 @@
      */
     fun chooseBackup(call: RoutedCall, main: UpstreamView): UpstreamView? {
         if (call.service.engine?.supportsBackups != true) return null
-        val others = usable.filterNot { it.entry.id == main.entry.id }
+        val others = available.filterNot { it.entry.id == main.entry.id }
         val inOtherDataCentres = others.filterNot { it.entry.dataCentre == main.entry.dataCentre }
         return leastLoaded(inOtherDataCentres.ifEmpty { others }, isEngine = true)
     }
 
     /** Returns the upstream that holds [copy], if it is up. */
-    fun copyHolder(copy: KvCacheCopy?): UpstreamView? =
-        copy?.let { state.upstreams[it.holder] }?.takeIf { it.isUp(now) }
+    fun copyHolder(copy: KvCacheCopy?): UpstreamView? = copy?.let { state.upstreams[it.holder] }
+        ?.takeIf { it.isUp(now) && state.quotaWait(it, now) == ZERO }
 
     private fun leastLoaded(views: List<UpstreamView>, isEngine: Boolean): UpstreamView? =
         views.minByOrNull { view ->
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/NodeShare.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/NodeShare.kt
@@ -15,9 +15,12 @@
  */
 public data class NodeShare(val self: String = "", val peers: Set<String> = emptySet()) {
     /** Whether [upstream] is in the share of this node. */
-    public fun contains(upstream: UpstreamId): Boolean {
+    public fun contains(upstream: UpstreamId): Boolean = rank(upstream) == 0
+
+    /** Returns how many other nodes come before this one for [upstream]. */
+    internal fun rank(upstream: UpstreamId): Int {
         val own = score(self, upstream)
-        return peers.none { score(it, upstream) > own }
+        return peers.count { score(it, upstream) > own }
     }
 
     private fun score(node: String, upstream: UpstreamId): Int {
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementFilter.kt
@@ -33,7 +33,7 @@
             .then { lossRecovery.attemptFailed(it, event.attempt, event.cause, now) }
             .then { PartChecks.failUnbegun(state.parts, it, now) }
         is PlacementEvent.StreamOpened ->
-            RateLimits.answered(state, event.attempt, event.rateLimit)
+            RateLimits.answered(state, event.attempt, event.rateLimit, now)
                 .then { streamProgressed(it, event.attempt, now, hasEvents = false) }
         is PlacementEvent.StreamProgressed ->
             streamProgressed(state, event.attempt, now, hasEvents = true)
@@ -59,7 +59,7 @@
         val head = event.answer.head
         val limited = when {
             head.isMisdirected -> Step(state)
-            else -> RateLimits.answered(state, event.attempt, head.rateLimit)
+            else -> RateLimits.answered(state, event.attempt, head.rateLimit, now)
         }
         return limited.then { answerHandling.handle(it, event.attempt, event.answer, now) }
     }
@@ -91,7 +91,7 @@
 
     private fun withShare(state: PlacementState, share: NodeShare): PlacementState =
         state.upstreams.values.fold(state.copy(share = share)) { next, view ->
-            next.with(view.copy(isPreferred = share.contains(view.entry.id)))
+            next.with(view.copy(rank = share.rank(view.entry.id)))
         }
 
     private fun streamProgressed(
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/UpstreamRegistry.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/UpstreamRegistry.kt
@@ -55,8 +55,8 @@
                     isLeaving = false,
                     startedAtMillis = event.startedAtMillis,
                 )
-                val isPreferred = state.share.contains(entry.id)
-                val adopted = UpstreamView(entry, isAdopted = true, isPreferred = isPreferred)
+                val rank = state.share.rank(entry.id)
+                val adopted = UpstreamView(entry, isAdopted = true, rank = rank)
                 state.with(adopted).withActions(
                     PlacementAction.UpstreamStatusChanged(
                         event.id,
@@ -96,7 +96,7 @@
         entry,
         running = known?.running ?: 0,
         backups = known?.backups ?: 0,
-        isPreferred = share.contains(entry.id),
+        rank = share.rank(entry.id),
     )
 
     private fun removeUpstreams(state: PlacementState, gone: List<UpstreamView>): PlacementState {
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/UpstreamView.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/UpstreamView.kt
@@ -10,7 +10,7 @@
  *
  * @property running the number of this node's attempts in progress there.
  * @property backups the number of KV cache backups that this node's attempts keep there.
- * @property isPreferred whether it is in this node's share, see [NodeShare].
+ * @property rank how many other nodes come before this one for it, see [NodeShare].
  * @property peerLoad the load that other nodes last reported for it.
  * @property lastSeenAt when it last sent anything to this node.
  * @property downUntil until when it gets no calls; null while it is considered up.
@@ -19,7 +19,7 @@
  * @property isAdopted whether it was found at another's address and is not yet in the registry.
  * @property missingSince since when registry listings lack it, if it is adopted.
  * @property isReplaced whether another upstream answered at its address.
- * @property rateLimit the limit that it named in its last answer; null if it named none.
+ * @property rateLimit the rate limit that it named in its last answer; null if it named none.
  * @property probeSentAt when the pending probe was sent; null without one.
  * @property lastProbedAt when the last probe was sent.
  */
@@ -27,7 +27,7 @@
     val entry: UpstreamEntry,
     val running: Int = 0,
     val backups: Int = 0,
-    val isPreferred: Boolean = true,
+    val rank: Int = 0,
     val peerLoad: Int = 0,
     val lastSeenAt: Duration = Duration.ZERO,
     val downUntil: Duration? = null,
@@ -37,10 +37,14 @@
     val isAdopted: Boolean = false,
     val missingSince: Duration? = null,
     val isReplaced: Boolean = false,
-    val rateLimit: Double? = null,
+    val rateLimit: RateLimit? = null,
     val probeSentAt: Duration? = null,
     val lastProbedAt: Duration? = null,
 ) {
+    /** Whether it is in this node's share. */
+    public val isPreferred: Boolean
+        get() = rank == 0
+
     /** Whether no attempt or backup of this node is there. */
     public val isUnused: Boolean
         get() = running == 0 && backups == 0
