Never complete a stream without a length that ended before any event

What a caller saw: an upstream that crashed behind the head of a stream with neither a length nor chunks left an empty answer that looked complete; a stream that was continued there lost its remaining events without a sign.

Cause: the end of the connection is the end of such an answer, and the relay only took an end inside an event for a break.

Fix: the head tells whether the answer ends with its connection; until such an answer has sent an event, its end counts as a break, and the stream goes on at another upstream or is aborted. One that ends behind an event stays complete.

--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/model/UpstreamAnswer.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/model/UpstreamAnswer.kt
@@ -12,6 +12,8 @@
  * @property isSigned whether the answer carries the signature header of an upstream.
  * @property didNotRun whether the upstream states that it has not run the call.
  * @property isMisdirected whether another upstream answered than the call was sent to.
+ * @property endsWithConnection whether the body has no length and no chunks, so that the end of
+ *   the connection is its end.
  * @property upstream the id of the upstream that answered, if it is stated.
  * @property rateLimit the requests a second that the upstream takes from all nodes together, if it
  *   names a limit.
@@ -25,6 +27,7 @@
     val didNotRun: Boolean,
     val isMisdirected: Boolean,
     val closesConnection: Boolean = false,
+    val endsWithConnection: Boolean = false,
     val upstream: UpstreamId? = null,
     val rateLimit: Double? = null,
 ) {
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/relay/RelayFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/relay/RelayFilter.kt
@@ -32,8 +32,11 @@
 
     private fun begin(state: RelayState, event: RelayEvent.Begin): Step<RelayState, RelayAction> {
         val key = event.order.attempt.call
-        val existing = state.streams[key]
-        val stream = existing?.copy(currentAttempt = event.order.attempt, partialEvent = Body.EMPTY)
+        val stream = state.streams[key]?.copy(
+            currentAttempt = event.order.attempt,
+            partialEvent = Body.EMPTY,
+            mayBeCut = false,
+        )
             ?: RelayedStream(
                 currentAttempt = event.order.attempt,
                 call = event.order.call,
@@ -48,9 +51,12 @@
         val report = RelayAction.Report(
             PlacementEvent.StreamOpened(event.attempt, event.head.rateLimit),
         )
+        val next = state.with(
+            stream.copy(isOpen = true, mayBeCut = event.head.endsWithConnection),
+        )
         return when {
-            stream.isOpen -> state.withActions(report)
-            else -> state.with(stream.copy(isOpen = true)).withActions(
+            stream.isOpen -> next.withActions(report)
+            else -> next.withActions(
                 RelayAction.Open(stream.call, event.head),
                 report,
             )
@@ -73,7 +79,9 @@
                 RelayAction.Drop(event.attempt),
                 reportBroken(event.attempt, "events ${frames.ids} behind ${stream.lastEvent}"),
             )
-            else -> state.with(next.copy(lastEvent = frames.ids.last())).withActions(
+            else -> state.with(
+                next.copy(lastEvent = frames.ids.last(), mayBeCut = false),
+            ).withActions(
                 RelayAction.Write(event.attempt, frames.completeEvents),
                 RelayAction.Report(PlacementEvent.StreamProgressed(event.attempt)),
             )
@@ -91,6 +99,8 @@
         return when {
             stream.partialEvent.size > 0 || !stream.isOpen ->
                 state.withActions(reportBroken(attempt, "ended within an event"))
+            stream.mayBeCut ->
+                state.withActions(reportBroken(attempt, "ended before any event"))
             else -> Step(
                 state.copy(streams = state.streams.remove(attempt.call)),
                 persistentListOf(
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/relay/RelayedStream.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/relay/RelayedStream.kt
@@ -10,6 +10,8 @@
  * @property currentAttempt the only attempt whose bytes are forwarded.
  * @property lastEvent the id of the last event sent to the caller; null before the first one.
  * @property partialEvent bytes of [currentAttempt] that do not yet form a complete event.
+ * @property mayBeCut whether [currentAttempt] has sent no event of an answer that ends with its
+ *   connection, so that its end can't be told from a crash.
  * @property isOpen whether the head of the answer was sent to the caller.
  */
 public data class RelayedStream(
@@ -17,5 +19,6 @@
     val call: RoutedCall,
     val lastEvent: Long?,
     val partialEvent: Body = Body.EMPTY,
+    val mayBeCut: Boolean = false,
     val isOpen: Boolean = false,
 )
