--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/model/UpstreamAnswer.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/model/UpstreamAnswer.kt
@@ -17,7 +17,6 @@
  * @property upstream the id of the upstream that answered, if it is stated.
  * @property rateLimit the requests a second that the upstream takes from all nodes together, if it
  *   names a limit.
- * @property closesConnection whether the upstream closes the connection after this answer.
  */
 public data class AnswerHead(
     val status: Int,
@@ -26,7 +25,6 @@
     val isSigned: Boolean,
     val didNotRun: Boolean,
     val isMisdirected: Boolean,
-    val closesConnection: Boolean = false,
     val endsWithConnection: Boolean = false,
     val upstream: UpstreamId? = null,
     val rateLimit: Double? = null,
