Bound what nodes keep and tell of prompt parts

A prompt may name any number of parts with ids of any length, and a gossip datagram holds 64 KB: a part id of some kilobytes in eight crashes would have stopped a node's gossip.

--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PartHistory.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PartHistory.kt
@@ -144,7 +144,9 @@
     private fun pruned(now: Duration): PartHistory = copy(
         crashes = crashes.filter { now - it.at < RETENTION }.takeLast(MAX_CRASHES)
             .toPersistentList(),
-        blocked = blocked.filterValues { now - it < BLOCK_TIME }.toPersistentMap(),
+        blocked = blocked.entries.filter { now - it.value < BLOCK_TIME }
+            .sortedBy { it.value }.takeLast(MAX_BLOCKED)
+            .associate { it.toPair() }.toPersistentMap(),
     )
 
     /** Blocks parts until the crashes that no blocked part explains fall below the limits. */
@@ -178,6 +180,7 @@
         const val MAX_CRASHES_AFTER_ANSWER = 6
         const val MAX_CRASHES = 16
         const val MAX_REPORTED = 8
+        const val MAX_BLOCKED = 64
         const val MAX_DISPUTED = 16
         const val MAX_ANSWERS = 4096
 
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/PartHistoryTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/PartHistoryTest.kt
@@ -190,6 +190,10 @@
 
             val crashes = (1..40).map { PartEvent.Crashed("u$it", it.seconds, listOf("p$it")) }
             historyAfter(answers + crashes).toReport(50.seconds).crashes.size shouldBe 8
+
+            val blocks = PartReport(blockedAges = (1..200).associate { "b$it" to it })
+            val blocked = historyAfter(listOf(PartEvent.Reported(9.seconds, blocks)))
+            blocked.toReport(10.seconds).blockedAges.size shouldBe 64
         }
 
         test("a node that has answers for a part tells those that suspect it") {
