--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/RateQuota.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/RateQuota.kt
@@ -8,11 +8,11 @@
  * This node's part of the rate limit of one upstream.
  *
  * A limit may be far below one request a second a node, so it is divided among as many nodes as
- * it can serve, the owners, which all nodes derive alike from [NodeShare]. The other nodes only
+ * it can serve, the senders, which all nodes derive alike from [NodeShare]. The other nodes only
  * try the upstream from time to time, one after the other, to learn when its limit ends.
  *
- * @property perSecond the requests a second that this node may send; 0 if it is no owner.
- * @property trialInterval the time between two trials of a node that is no owner.
+ * @property perSecond the requests a second that this node may send; 0 if it is no sender.
+ * @property trialInterval the time between two trials of a node that is no sender.
  * @property trialOffset how much later than the first node this one makes its trials.
  */
 internal data class RateQuota(
@@ -25,10 +25,10 @@
         get() = if (perSecond > 0) maxOf(1.0, perSecond * SAVED_SECONDS) else 0.0
 
     companion object {
-        /** Owners beyond the limit's whole requests a second; each may send a saved request. */
-        private const val EXTRA_OWNERS = 2
+        /** Senders beyond the limit's whole requests a second; each may send a saved request. */
+        private const val EXTRA_SENDERS = 2
         private const val SAVED_SECONDS = 0.5
-        private const val MAX_OWNERS = 1e6
+        private const val MAX_SENDERS = 1e6
         private val TRIAL_INTERVAL_PER_NODE = 2.seconds
         private val MIN_TRIAL_INTERVAL = 10.seconds
 
@@ -37,11 +37,11 @@
          * requests a second from all nodes; [nodes] is how many there are, null if unknown.
          */
         fun of(limit: Double, rank: Int, nodes: Int?): RateQuota {
-            val served = floor(minOf(limit, MAX_OWNERS)).toInt() + EXTRA_OWNERS
-            val owners = if (nodes == null) served else minOf(served, nodes)
+            val served = floor(minOf(limit, MAX_SENDERS)).toInt() + EXTRA_SENDERS
+            val senders = if (nodes == null) served else minOf(served, nodes)
             val interval = maxOf(MIN_TRIAL_INTERVAL, TRIAL_INTERVAL_PER_NODE * (nodes ?: 0))
             return RateQuota(
-                perSecond = if (rank < owners) limit / owners else 0.0,
+                perSecond = if (rank < senders) limit / senders else 0.0,
                 trialInterval = interval,
                 trialOffset = interval * (rank.toDouble() / (nodes ?: 1)),
             )
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/RateQuotaTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/RateQuotaTest.kt
@@ -12,7 +12,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-private data class QuotaCase(val limit: Double, val nodes: Int, val owners: Int) :
+private data class QuotaCase(val limit: Double, val nodes: Int, val senders: Int) :
     WithDataTestName {
     override fun dataTestName(): String = "$limit a second, $nodes nodes"
 }
@@ -68,17 +68,17 @@
 
 class RateQuotaTest :
     FunSpec({
-        context("the limit is divided among the owners") {
+        context("the limit is divided among the senders") {
             withData(
-                QuotaCase(limit = 0.0, nodes = 4, owners = 0),
-                QuotaCase(limit = 0.13, nodes = 4, owners = 2),
-                QuotaCase(limit = 2.1, nodes = 4, owners = 4),
-                QuotaCase(limit = 2.1, nodes = 39, owners = 4),
-                QuotaCase(limit = 20.0, nodes = 39, owners = 22),
-                QuotaCase(limit = 1e9, nodes = 330, owners = 330),
+                QuotaCase(limit = 0.0, nodes = 4, senders = 0),
+                QuotaCase(limit = 0.13, nodes = 4, senders = 2),
+                QuotaCase(limit = 2.1, nodes = 4, senders = 4),
+                QuotaCase(limit = 2.1, nodes = 39, senders = 4),
+                QuotaCase(limit = 20.0, nodes = 39, senders = 22),
+                QuotaCase(limit = 1e9, nodes = 330, senders = 330),
             ) { case ->
                 val quotas = (0 until case.nodes).map { RateQuota.of(case.limit, it, case.nodes) }
-                quotas.count { it.perSecond > 0 } shouldBe case.owners
+                quotas.count { it.perSecond > 0 } shouldBe case.senders
                 quotas.sumOf { it.perSecond } shouldBeLessThanOrEqual case.limit * 1.000001
             }
         }
