Let only a sound answer end a rate limit

A rejection, or a head that a faulty upstream spoiled, may lack the limit that the upstream still has; the node then sent without a limit until the next answer. Found by reading. Now an answer that names no limit ends it only if it is signed and the call has run. CappedServiceTest has the cases (rejection, unsigned, from another upstream).

--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementFilter.kt
@@ -57,8 +57,10 @@
         now: Duration,
     ): Step<PlacementState, PlacementAction> {
         val head = event.answer.head
+        // A rejection or a garbled head may lack the limit that the upstream still has.
+        val isLimitKnown = head.rateLimit != null || head.isSigned && !head.didNotRun
         val limited = when {
-            head.isMisdirected -> Step(state)
+            head.isMisdirected || !isLimitKnown -> Step(state)
             else -> RateLimits.answered(state, event.attempt, head.rateLimit, now)
         }
         return limited.then { answerHandling.handle(it, event.attempt, event.answer, now) }
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/CappedServiceTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/CappedServiceTest.kt
@@ -10,6 +10,7 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.collections.immutable.persistentMapOf
 import org.bilberrycart.gateway.Samples
+import org.bilberrycart.gateway.model.AnswerHead
 import org.bilberrycart.gateway.model.RetryRule
 import org.bilberrycart.gateway.model.UpstreamAnswer
 import org.bilberrycart.gateway.model.UpstreamId
@@ -25,6 +26,15 @@
     override fun dataTestName(): String = name
 }
 
+/** An answer that names no limit, from an upstream that named one. */
+private data class LimitEndCase(
+    val name: String,
+    val change: (AnswerHead) -> AnswerHead,
+    val isEnded: Boolean,
+) : WithDataTestName {
+    override fun dataTestName(): String = name
+}
+
 private const val LIMIT = 2.0
 private const val CALLS = 100
 private val upstreams = setOf("a", "b", "c")
@@ -115,14 +125,22 @@
             spentNow shouldBe 2
         }
 
-        test("an answer without a limit ends it") {
-            val capped = CappedRun(RetryRule.AtMostOnce)
-            capped.serve(3, setOf("a"))
-            capped.run.advance(3.seconds)
-            (100L until 104L).forEach {
-                capped.submit(it)
-                capped.answer(it, limit = null)
+        context("the next answer without a limit") {
+            withData(
+                LimitEndCase("an answer ends it", change = { it }, isEnded = true),
+                LimitEndCase("a rejection", { it.copy(status = 503, didNotRun = true) }, false),
+                LimitEndCase("an unsigned answer", { it.copy(isSigned = false) }, false),
+                LimitEndCase("another upstream", { it.copy(isMisdirected = true) }, false),
+            ) { case ->
+                val capped = CappedRun(RetryRule.AtMostOnce)
+                capped.serve(1, upstreams)
+                capped.run.advance(20.seconds)
+                val upstream = UpstreamId(capped.submit(100))
+                val sound = answerNaming(limit = null, key = 100)
+                val answer = sound.copy(head = case.change(sound.head))
+                capped.run.step(PlacementEvent.Answered(attempt(call = 100), answer))
+                val limit = capped.run.state.upstreams.getValue(upstream).rateLimit
+                (limit == null) shouldBe case.isEnded
             }
-            capped.run.state.upstreams.getValue(UpstreamId("a")).rateLimit shouldBe null
         }
     })
