Move the use of retry budgets out of CallPlacement

RetryBudgets now counts, refunds and describes the use of the budgets; CallPlacement and LossRecovery share it.

--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/CallPlacement.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/CallPlacement.kt
@@ -6,11 +6,13 @@
 import kotlinx.collections.immutable.persistentListOf
 import org.bilberrycart.gateway.model.AttemptKey
 import org.bilberrycart.gateway.model.RetryRule
-import org.bilberrycart.gateway.model.ServiceName
 import org.bilberrycart.pipeline.Step
 
 /** Dispatches calls to upstreams within the attempt limits of their routes and the retry budget. */
-internal class CallPlacement(private val settings: PlacementSettings) {
+internal class CallPlacement(
+    private val settings: PlacementSettings,
+    private val retryBudgets: RetryBudgets,
+) {
     /**
      * Sends [call] to the best upstream, or keeps it waiting if none is usable.
      *
@@ -53,7 +55,7 @@
                 "no attempt left, $why",
                 now,
             )
-            !isInBudget(state, call, now) -> awaitBudget(waiting, call, now, why)
+            !retryBudgets.allows(state, call, now) -> awaitBudget(waiting, call, now, why)
             else -> dispatch(waiting, call, now, why)
         }
     }
@@ -75,7 +77,7 @@
             else -> CallCompletion.fail(
                 state,
                 call,
-                "${describeBudget(state, call, now)}, $why",
+                "${retryBudgets.describe(state, call, now)}, $why",
                 now,
             )
         }
@@ -112,15 +114,6 @@
                 it.call.arrivedAt < call.call.arrivedAt
         }
 
-    private fun describeBudget(state: PlacementState, call: ActiveCall, now: Duration): String {
-        val service = call.call.service.name
-        val own = budget(state, service).use(now)
-        val fleet = state.fleetRetries(service)
-        return "repeat budget is used up: own ${own.retries} for ${own.firstDispatches} calls, " +
-            "others ${fleet.peers.retries} for ${fleet.peers.firstDispatches}, " +
-            "heard ${fleet.heardNodes} of ${fleet.nodes} nodes"
-    }
-
     /**
      * Sends [call] to a second upstream in parallel, if one that it has not tried is usable and
      * its attempts and the retry budget allow it.
@@ -132,38 +125,12 @@
     ): Step<PlacementState, PlacementAction> {
         val choice = LeastLoadedSelector(state, call.call.service.name, now).choose(call)
         val mayHedge = call.hasAttemptsLeft &&
-            isInBudget(state, call, now) &&
+            retryBudgets.allows(state, call, now) &&
             choice != null &&
             choice.entry.id !in call.triedUpstreams
         return if (mayHedge) dispatch(state, call, now, "hedge") else Step(state)
     }
 
-    /** Whether the retry budget allows another attempt; a first attempt needs no budget. */
-    private fun isInBudget(state: PlacementState, call: ActiveCall, now: Duration): Boolean {
-        val service = call.call.service.name
-        return call.possibleArrivals == 0 ||
-            budget(state, service).allows(now, state.fleetRetries(service), settings.retrySlack)
-    }
-
-    private fun budget(state: PlacementState, service: ServiceName): RetryBudget =
-        state.budgets[service] ?: RetryBudget(
-            window = settings.retryWindow,
-            ratio = settings.retryRatio,
-        )
-
-    /** Takes [attempt], which was never sent, out of the retry budget if it was a retry. */
-    fun refundRetry(
-        state: PlacementState,
-        call: ActiveCall,
-        attempt: Attempt,
-        now: Duration,
-    ): PlacementState {
-        if (!attempt.isRetry) return state
-        val service = call.call.service.name
-        val counted = budget(state, service).withDispatches(now, retries = -1)
-        return state.copy(budgets = state.budgets.put(service, counted))
-    }
-
     private fun dispatch(
         state: PlacementState,
         call: ActiveCall,
@@ -205,16 +172,10 @@
             kvCacheCopy = null,
             overBudgetSince = null,
         )
-        val service = call.call.service.name
-        val budgetBefore = budget(state, service)
-        val counted = when {
-            attempt.isRetry -> budgetBefore.withDispatches(now, retries = 1)
-            call.dispatches == 0 -> budgetBefore.withDispatches(now, firstDispatches = 1)
-            else -> budgetBefore
-        }
-        val next = state.with(updatedCall).withAttemptCounted(attempt, +1)
+        val counted = retryBudgets.count(state, call, attempt, now)
+        val next = counted.with(updatedCall).withAttemptCounted(attempt, +1)
             .withQuotaSpent(main, now)
-            .copy(budgets = state.budgets.put(service, counted), seed = selector.nextSeed)
+            .copy(seed = selector.nextSeed)
         return Step(next, persistentListOf(PlacementAction.Send(order, why)))
     }
 
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/LossRecovery.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/LossRecovery.kt
@@ -12,6 +12,7 @@
 internal class LossRecovery(
     private val settings: PlacementSettings,
     private val callPlacement: CallPlacement,
+    private val retryBudgets: RetryBudgets,
 ) {
     /** Marks the upstream down and retries the call, as nothing of attempt [key] reached it. */
     fun unsent(
@@ -28,7 +29,7 @@
                 possibleArrivals = call.possibleArrivals - 1,
                 possibleRuns = call.possibleRuns - 1,
             )
-            val refunded = callPlacement.refundRetry(
+            val refunded = retryBudgets.refund(
                 next.withAttemptCounted(attempt, -1),
                 remaining,
                 attempt,
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PartHistory.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PartHistory.kt
@@ -69,15 +69,15 @@
     public fun withReport(report: PartReport, now: Duration): PartHistory {
         if (report.isEmpty) return this
         val answered = report.answerAges.entries.fold(this) { history, (part, age) ->
-            history.withPeerAnswer(PromptPartId(part), now - age.toDuration())
+            history.withPeerAnswer(PromptPartId(part), now - age.milliseconds)
         }
         val crashed = report.crashes.fold(answered) { history, crash ->
             val parts = crash.parts.map(::PromptPartId).toPersistentList()
-            val at = now - crash.ageMillis.toDuration()
+            val at = now - crash.ageMillis.milliseconds
             history.adding(PartCrash(UpstreamId(crash.upstream), at, parts))
         }
         return report.blockedAges.entries.fold(crashed) { history, (part, age) ->
-            history.withPeerBlock(PromptPartId(part), now - age.toDuration())
+            history.withPeerBlock(PromptPartId(part), now - age.milliseconds)
         }.withDisputes(report).pruned(now).withBlocks(now)
     }
 
@@ -196,6 +196,4 @@
     }
 }
 
-private fun Int.toDuration(): Duration = milliseconds
-
 private fun Duration.toMillis(): Int = inWholeMilliseconds.toInt()
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementFilter.kt
@@ -12,8 +12,9 @@
 /** Decides which upstream each call is sent to, when it is retried, and when it ends. */
 public class PlacementFilter(private val settings: PlacementSettings = PlacementSettings()) :
     Filter<PlacementState, PlacementEvent, PlacementAction> {
-    private val callPlacement = CallPlacement(settings)
-    private val lossRecovery = LossRecovery(settings, callPlacement)
+    private val retryBudgets = RetryBudgets(settings)
+    private val callPlacement = CallPlacement(settings, retryBudgets)
+    private val lossRecovery = LossRecovery(settings, callPlacement, retryBudgets)
     private val answerHandling = AnswerHandling(lossRecovery)
     private val timeoutChecks = TimeoutChecks(settings, callPlacement, lossRecovery)
 
