Log and count a duty whose thread ends, and events that it could not handle

Of the three hypotheses in docs/incidents/unreadable-row.md, structured lines and metrics could not tell a thread that ended from a step that failed: the JVM printed an uncaught error without time or name, and nothing was counted.

Change: Duty logs event=duty_ended and tells its owner; a gateway counts both kinds of failure by duty (bilberrycart_gateway_duty_failures_total). The duties of a gateway are built in one place, DutyFactory. No decision changes.

--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/metrics/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/metrics/GatewayMetrics.kt
@@ -22,6 +22,9 @@
     private val statusChanges = Counter.builder().name("bilberrycart_gateway_beliefs_total")
         .help("Status changes that the node detected, by subject and belief.")
         .labelNames("subject", "belief").register(registry)
+    private val dutyFailures = Counter.builder().name("bilberrycart_gateway_duty_failures_total")
+        .help("Events that a duty could not handle, and duties that ended, by duty and kind.")
+        .labelNames("duty", "kind").register(registry)
     private val callSeconds = Histogram.builder().name("bilberrycart_gateway_call_seconds")
         .help("Time from the head of a request to the end of its answer, by route.")
         .classicOnly().classicExponentialUpperBounds(
@@ -81,6 +84,10 @@
     public fun statusChanged(subject: String, belief: String): Unit =
         statusChanges.labelValues(subject, belief).inc()
 
+    /** Counts a failure of [duty]: one event, or with [hasEnded] its thread. */
+    public fun dutyFailed(duty: String, hasEnded: Boolean): Unit =
+        dutyFailures.labelValues(duty, if (hasEnded) "ended" else "event").inc()
+
     /** Returns all metrics in the text format of Prometheus. */
     public fun text(): String = ByteArrayOutputStream().also {
         PrometheusTextFormatWriter.create().write(it, registry.scrape())
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/GatewayNode.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/GatewayNode.kt
@@ -36,7 +36,6 @@
 import org.bilberrycart.gateway.relay.RelayFilter
 import org.bilberrycart.gateway.relay.RelayState
 import org.bilberrycart.pipeline.Clock
-import org.bilberrycart.pipeline.Duty
 import org.bilberrycart.timer.Ticker
 
 /** A gateway node between callers and upstreams: its filters, their rings, sources and sinks. */
@@ -62,19 +61,18 @@
         rings = rings::stats,
         droppedLines = CountingAsyncAppender::dropped,
     )
+    private val duties = DutyFactory(clock, metrics)
     private val entry =
-        Duty("entry", rings.entry, EntryState(seed = seed()), EntryFilter(), clock, ::onEntry)
+        duties.duty(rings.entry, EntryState(seed = seed()), EntryFilter(), ::onEntry)
     private val placementSettings = PlacementSettings(
         retryWindow = settings.repeatWindowSeconds.seconds,
         retryRatio = settings.repeatRatio,
         retrySlack = settings.repeatSlack,
     )
-    private val placement = Duty(
-        "placement",
+    private val placement = duties.duty(
         rings.placement,
         PlacementState(seed = seed()),
         PlacementFilter(placementSettings),
-        clock,
         PlacementSink(
             rings,
             exchanges,
@@ -86,20 +84,16 @@
             configuration = { entry.snapshot.configuration },
         ),
     )
-    private val relay = Duty(
-        "relay",
+    private val relay = duties.duty(
         rings.relay,
         RelayState(),
         RelayFilter(),
-        clock,
         RelaySink(rings, exchanges, upstreams, metrics, log, clock),
     )
-    private val discovery = Duty(
-        "discovery",
+    private val discovery = duties.duty(
         rings.discovery,
         DiscoveryState(),
         DiscoveryFilter(maxFollowDelay = settings.drainMillis.milliseconds / FOLLOWS_PER_DRAIN),
-        clock,
         DiscoverySink(
             rings,
             store,
@@ -111,17 +105,16 @@
             ::askPeer,
         ),
     )
-    private val lifecycle = Duty(
-        "lifecycle",
+    private val lifecycle = duties.duty(
         rings.lifecycle,
         LifecycleState.Starting(hasConfiguration = false, hasUpstreams = false),
         LifecycleFilter(settings.graceSeconds.seconds),
-        clock,
         ::onLifecycle,
     )
     private val peerLinks: PeerLinks = PeerLinks(
         settings,
         clock,
+        duties,
         client,
         log,
         placement = { rings.placement.put(it) },
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/PeerLinks.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/PeerLinks.kt
@@ -26,7 +26,6 @@
 import org.bilberrycart.gateway.placement.PlacementEvent
 import org.bilberrycart.gateway.placement.PlacementState
 import org.bilberrycart.pipeline.Clock
-import org.bilberrycart.pipeline.Duty
 import org.bilberrycart.pipeline.Ring
 import org.bilberrycart.timer.Ticker
 import org.eclipse.jetty.client.BufferingResponseListener
@@ -37,6 +36,7 @@
 internal class PeerLinks(
     private val settings: GatewaySettings,
     private val clock: Clock,
+    duties: DutyFactory,
     private val client: HttpClient,
     private val log: DecisionLog,
     private val placement: (PlacementEvent) -> Unit,
@@ -52,7 +52,7 @@
 
     /** The states at the last tick; used by the timer's thread only. */
     private var lastStates: List<Any> = emptyList()
-    private val duty = Duty("peers", ring, initialState(), PeersFilter(), clock, ::execute)
+    private val duty = duties.duty(ring, initialState(), PeersFilter(), ::execute)
 
     /** The target of the node's ticker that drives gossip. */
     val tickTarget: Ticker.Target<PeersEvent> =
--- a/library/src/main/kotlin/org/bilberrycart/pipeline/Duty.kt
+++ b/library/src/main/kotlin/org/bilberrycart/pipeline/Duty.kt
@@ -12,6 +12,7 @@
  * reported to [onFailure] and the state stays unchanged.
  *
  * @property name the name of the thread, also used in metrics.
+ * @property onEnded called if an error ends the thread, so that no later event is handled.
  */
 public class Duty<S : Any, E : Any, A : Any>(
     public val name: String,
@@ -21,6 +22,7 @@
     private val clock: Clock,
     private val sink: Sink<A>,
     private val onFailure: (event: E, cause: Exception) -> Unit = { _, _ -> },
+    private val onEnded: (cause: Throwable) -> Unit = {},
 ) : AutoCloseable {
     @Volatile private var state: S = initial
     private val worker = thread(start = false, name = name, isDaemon = true) { run() }
@@ -52,7 +54,13 @@
     }
 
     private fun run() {
-        while (!ring.isDone()) ring.takeAll().forEach(::handle)
+        try {
+            while (!ring.isDone()) ring.takeAll().forEach(::handle)
+        } catch (e: Throwable) {
+            log.error("event=duty_ended duty={} cause={}", name, e.toString(), e)
+            onEnded(e)
+            throw e
+        }
     }
 
     private fun handle(event: E) {
