Survive a failed action or stack overflow in a duty; end the node with a lost one

Cause: Duty caught exceptions only, nothing saw that a thread had ended, and an action that threw dropped the other actions of its step, among them the next request for changes. The timer's thread had no guard at all, and a call to the store that threw left discovery waiting for its reply for good.

Any other error that ends a duty or the timer is logged and counted, the node says that it isn't ready, and the process ends with code 70 to be started again.

--- a/bench/src/main/kotlin/org/bilberrycart/bench/pipeline/PipelineRun.kt
+++ b/bench/src/main/kotlin/org/bilberrycart/bench/pipeline/PipelineRun.kt
@@ -98,7 +98,7 @@
         recorder.trace { "count: $event" }
     }
 
-    override fun eventFailed(duty: String, cause: Exception): Unit =
+    override fun eventFailed(duty: String, cause: Throwable): Unit =
         recorder.check(false) { "$duty failed: $cause" }
 
     override fun close(): Unit = pipeline.close()
--- a/daemon/src/main/kotlin/org/bilberrycart/daemon/FrontMain.kt
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/FrontMain.kt
@@ -1,5 +1,6 @@
 package org.bilberrycart.daemon
 
+import ch.qos.logback.classic.LoggerContext
 import java.io.IOException
 import java.nio.file.Path
 import kotlin.system.exitProcess
@@ -13,6 +14,7 @@
 import org.bilberrycart.platform.PlatformProtocol
 import org.bilberrycart.platform.PlatformRows
 import org.bilberrycart.platform.PlatformStore
+import org.slf4j.LoggerFactory
 
 /** The environment variable that holds the path of the settings file. */
 private const val SETTINGS_VARIABLE = "BILBERRYCART_SETTINGS"
@@ -23,6 +25,9 @@
 /** The exit code if the node cannot start, EX_OSERR of sysexits.h. */
 private const val EXIT_START_FAILED = 71
 
+/** The exit code if a thread of the node ends by an error, EX_SOFTWARE of sysexits.h. */
+private const val EXIT_THREAD_ENDED = 70
+
 private val STORE_IDLE_TIMEOUT = 30.seconds
 
 /** Runs one gateway node, with the settings file that `BILBERRYCART_SETTINGS` names. */
@@ -41,7 +46,8 @@
     val store =
         PlatformStore(HttpClients.start("store", STORE_IDLE_TIMEOUT)) { watch.current.store }
     val node = try {
-        GatewayNode(settings, PlatformProtocol(), store, PlatformRows()).also { it.start() }
+        GatewayNode(settings, PlatformProtocol(), store, PlatformRows(), ::haltProcess)
+            .also { it.start() }
     } catch (e: IOException) {
         // Other threads run by now, so an exception alone would not end the process.
         fail("cannot start: $e", EXIT_START_FAILED)
@@ -50,6 +56,12 @@
     return settings
 }
 
+/** Writes the lines that are still queued for the log and ends the process without a drain. */
+private fun haltProcess() {
+    (LoggerFactory.getILoggerFactory() as LoggerContext).stop()
+    Runtime.getRuntime().halt(EXIT_THREAD_ENDED)
+}
+
 private fun fail(reason: String, code: Int = EXIT_BAD_SETTINGS): Nothing {
     System.err.println("bilberrycart: $reason")
     exitProcess(code)
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DiscoverySink.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DiscoverySink.kt
@@ -10,6 +10,7 @@
 import org.bilberrycart.gateway.discovery.StoreTable
 import org.bilberrycart.gateway.discovery.TableReply
 import org.bilberrycart.gateway.entry.EntryEvent
+import org.bilberrycart.gateway.http.summary
 import org.bilberrycart.gateway.lifecycle.LifecycleEvent
 import org.bilberrycart.gateway.metrics.GatewayMetrics
 import org.bilberrycart.gateway.placement.PlacementEvent
@@ -33,11 +34,11 @@
     private var upstreams = RowCache()
 
     override fun invoke(action: DiscoveryAction): Unit = when (action) {
-        is DiscoveryAction.Read -> runAfter(action.delay) {
-            store.read(action.table, action.from) { onReply(action.table, it) }
+        is DiscoveryAction.Read -> call(action.table, action.delay) { reply ->
+            store.read(action.table, action.from, reply)
         }
-        is DiscoveryAction.Follow -> runAfter(action.delay) {
-            store.follow(action.table, action.version, feedWait) { onReply(action.table, it) }
+        is DiscoveryAction.Follow -> call(action.table, action.delay) { reply ->
+            store.follow(action.table, action.version, feedWait, reply)
         }
         is DiscoveryAction.AskPeer -> askPeer(action)
         is DiscoveryAction.Publish -> publish(action)
@@ -51,8 +52,16 @@
         rings.discovery.put(DiscoveryEvent.Replied(table, reply))
     }
 
-    private fun runAfter(delay: Duration, call: () -> Unit) {
-        scheduler.schedule(call, delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+    /** Calls the store about [table] after [delay]; a call that can't be made has failed. */
+    private fun call(table: StoreTable, delay: Duration, start: ((TableReply) -> Unit) -> Unit) {
+        val task = Runnable {
+            try {
+                start { onReply(table, it) }
+            } catch (e: RuntimeException) {
+                onReply(table, TableReply.Failed(e.summary()))
+            }
+        }
+        scheduler.schedule(task, delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
     }
 
     private fun publish(action: DiscoveryAction.Publish) {
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DutyFactory.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DutyFactory.kt
@@ -7,8 +7,16 @@
 import org.bilberrycart.pipeline.Ring
 import org.bilberrycart.pipeline.Sink
 
-/** Builds the duties of a node, named after their rings, whose failures are counted alike. */
-internal class DutyFactory(private val clock: Clock, private val metrics: GatewayMetrics) {
+/**
+ * Builds the duties of a node, named after their rings, whose failures are counted alike.
+ *
+ * @property onEnded called with the name of a duty whose thread an error has ended.
+ */
+internal class DutyFactory(
+    private val clock: Clock,
+    private val metrics: GatewayMetrics,
+    private val onEnded: (duty: String) -> Unit,
+) {
     fun <S : Any, E : Any, A : Any> duty(
         ring: Ring<E>,
         initial: S,
@@ -22,6 +30,6 @@
         clock = clock,
         sink = sink,
         onFailure = { _, _ -> metrics.dutyFailed(ring.name, hasEnded = false) },
-        onEnded = { metrics.dutyFailed(ring.name, hasEnded = true) },
+        onEnded = { onEnded(ring.name) },
     )
 }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/GatewayNode.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/GatewayNode.kt
@@ -38,12 +38,19 @@
 import org.bilberrycart.pipeline.Clock
 import org.bilberrycart.timer.Ticker
 
-/** A gateway node between callers and upstreams: its filters, their rings, sources and sinks. */
+/**
+ * A gateway node between callers and upstreams: its filters, their rings, sources and sinks.
+ *
+ * @property onFailed called once a thread of the node has ended by an error. The node has said by
+ *   then that it is not ready; the process has to end, since nothing takes over the work of the
+ *   thread and its state can't be trusted.
+ */
 public class GatewayNode(
     private val settings: GatewaySettings,
     protocol: CallProtocol,
     store: StoreClient,
     rows: RowReader,
+    private val onFailed: () -> Unit = {},
 ) {
     private val clock = Clock()
     private val log = DecisionLog(settings.node)
@@ -51,6 +58,8 @@
 
     @Volatile private var isReady = false
 
+    @Volatile private var hasFailed = false
+
     private val rings = GatewayRings()
     private val exchanges = OpenExchanges(protocol)
     private val client = HttpClients.start("upstreams", UPSTREAM_IDLE)
@@ -61,7 +70,7 @@
         rings = rings::stats,
         droppedLines = CountingAsyncAppender::dropped,
     )
-    private val duties = DutyFactory(clock, metrics)
+    private val duties = DutyFactory(clock, metrics, ::onThreadEnded)
     private val entry =
         duties.duty(rings.entry, EntryState(seed = seed()), EntryFilter(), ::onEntry)
     private val placementSettings = PlacementSettings(
@@ -136,6 +145,7 @@
             ) { DiscoveryEvent.Tick },
             peerLinks.tickTarget,
         ),
+        onEnded = { onThreadEnded("timer") },
     )
     private val httpServer = GatewayHttpServer(
         callers = parseAddress(settings.callers),
@@ -155,7 +165,7 @@
         ),
         statusHandler = StatusHandler(
             protocol.readinessTarget,
-            { isReady },
+            { isReady && !hasFailed },
             peerLinks::tableCopy,
             metrics::text,
         ),
@@ -179,6 +189,12 @@
         }
     }
 
+    private fun onThreadEnded(name: String) {
+        hasFailed = true
+        metrics.dutyFailed(name, hasEnded = true)
+        onFailed()
+    }
+
     private fun onEntry(action: EntryAction) {
         log.entry(action)
         when (action) {
--- a/library/src/main/kotlin/org/bilberrycart/node/NodeMetrics.kt
+++ b/library/src/main/kotlin/org/bilberrycart/node/NodeMetrics.kt
@@ -47,7 +47,7 @@
         ring.offer(event)
     }
 
-    override fun eventFailed(duty: String, cause: Exception) {
+    override fun eventFailed(duty: String, cause: Throwable) {
         val name = (cause as? InvariantViolation)?.invariant ?: "unexpected_in_$duty"
         ring.offer(MetricsEvent.InvariantBroken(name))
     }
--- a/library/src/main/kotlin/org/bilberrycart/node/NodeObserver.kt
+++ b/library/src/main/kotlin/org/bilberrycart/node/NodeObserver.kt
@@ -8,12 +8,12 @@
     public fun count(event: MetricsEvent)
 
     /** [duty] failed to process an event because of [cause], such as a violated invariant. */
-    public fun eventFailed(duty: String, cause: Exception)
+    public fun eventFailed(duty: String, cause: Throwable)
 
     /** An observer that ignores all events. */
     public object None : NodeObserver {
         override fun count(event: MetricsEvent): Unit = Unit
 
-        override fun eventFailed(duty: String, cause: Exception): Unit = Unit
+        override fun eventFailed(duty: String, cause: Throwable): Unit = Unit
     }
 }
--- a/library/src/main/kotlin/org/bilberrycart/pipeline/Duty.kt
+++ b/library/src/main/kotlin/org/bilberrycart/pipeline/Duty.kt
@@ -8,8 +8,12 @@
  * One thread that takes events from [ring], passes each to [filter] and its actions to [sink].
  *
  * At each wake-up it takes all events that the ring holds. Only this thread changes the state;
- * others read it as the immutable [snapshot]. If the filter throws an exception, the event is
- * reported to [onFailure] and the state stays unchanged.
+ * others read it as the immutable [snapshot].
+ *
+ * If the filter fails, the state stays unchanged; if an action fails, the further actions of its
+ * step are still executed. Both are reported to [onFailure], and the thread goes on. That holds for
+ * exceptions and for a stack overflow, which input that is nested deep can cause. Any other error
+ * ends the thread.
  *
  * @property name the name of the thread, also used in metrics.
  * @property onEnded called if an error ends the thread, so that no later event is handled.
@@ -21,7 +25,7 @@
     private val filter: Filter<S, E, A>,
     private val clock: Clock,
     private val sink: Sink<A>,
-    private val onFailure: (event: E, cause: Exception) -> Unit = { _, _ -> },
+    private val onFailure: (event: E, cause: Throwable) -> Unit = { _, _ -> },
     private val onEnded: (cause: Throwable) -> Unit = {},
 ) : AutoCloseable {
     @Volatile private var state: S = initial
@@ -57,21 +61,35 @@
         try {
             while (!ring.isDone()) ring.takeAll().forEach(::handle)
         } catch (e: Throwable) {
-            log.error("event=duty_ended duty={} cause={}", name, e.toString(), e)
-            onEnded(e)
+            // Logging may fail as well, for want of memory.
+            try {
+                log.error("event=duty_ended duty={} cause={}", name, e.toString(), e)
+            } finally {
+                onEnded(e)
+            }
             throw e
         }
     }
 
     private fun handle(event: E) {
-        try {
-            val step = filter.step(state, event, clock.now())
-            state = step.state
-            step.actions.forEach(sink::accept)
-        } catch (e: Exception) {
-            log.error("event=duty_step_failed duty={} cause={}", name, e.toString(), e)
-            onFailure(event, e)
-        }
+        val step = attempt(event) { filter.step(state, event, clock.now()) } ?: return
+        state = step.state
+        step.actions.forEach { action -> attempt(event) { sink.accept(action) } }
+    }
+
+    /** Returns the result of [run], or null if it fails in a way that the duty survives. */
+    private fun <R : Any> attempt(event: E, run: () -> R): R? = try {
+        run()
+    } catch (e: Exception) {
+        failed(event, e)
+    } catch (e: StackOverflowError) {
+        failed(event, e)
+    }
+
+    private fun <R> failed(event: E, cause: Throwable): R? {
+        log.error("event=duty_step_failed duty={} cause={}", name, cause.toString(), cause)
+        onFailure(event, cause)
+        return null
     }
 
     private companion object {
