Log the connection on which an upstream rejects an attempt

The lines of a call gave the reason of each send, not the connection, so they could not tell a copy that is read as the answer to a second send from an answer that the HTTP client reports twice. UpstreamClient logs event=rejection_received with the node's port of the connection, one line a rejection. No decision changes.

--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/http/UpstreamClient.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/http/UpstreamClient.kt
@@ -1,6 +1,7 @@
 package org.bilberrycart.gateway.http
 
 import java.io.ByteArrayOutputStream
+import java.net.InetSocketAddress
 import java.nio.ByteBuffer
 import java.util.concurrent.CancellationException
 import java.util.concurrent.ConcurrentHashMap
@@ -26,6 +27,7 @@
 import org.eclipse.jetty.client.Result
 import org.eclipse.jetty.http.HttpStatus
 import org.eclipse.jetty.io.Connection
+import org.slf4j.LoggerFactory
 
 /**
  * Sends calls to upstreams and reports their answers and failures.
@@ -145,6 +147,7 @@
 
         private fun onHead(answer: AnswerHead) {
             head = answer
+            if (answer.didNotRun) logRejection(answer)
             isStream = order.call.route.retryRule is RetryRule.Stream &&
                 answer.isSuccess &&
                 answer.isSigned &&
@@ -152,6 +155,20 @@
             if (isStream) relay(RelayEvent.Opened(attempt, answer))
         }
 
+        private fun logRejection(answer: AnswerHead) {
+            val address = (request.connection as? Connection)?.endPoint?.localSocketAddress
+            log.info(
+                "event=rejection_received request={} call={} attempt={} upstream={} status={} " +
+                    "connection={}",
+                order.call.head.requestId,
+                attempt.call.number,
+                attempt.number,
+                order.upstream.id.value,
+                answer.status,
+                (address as? InetSocketAddress)?.port,
+            )
+        }
+
         private fun onChunk(buffer: ByteBuffer, next: Runnable) {
             noteProgress(request)
             val bytes = ByteArray(buffer.remaining()).also { buffer.get(it) }
@@ -197,5 +214,6 @@
 
         /** Bounds the memory that upstreams can take which send bodies without end. */
         const val MAX_BUFFERED_BYTES = 24L * 1024 * 1024
+        val log = LoggerFactory.getLogger(UpstreamClient::class.java)
     }
 }
