Send a call to the same address again over a new connection only

Cause: when all upstreams of a service are full, a call goes to one of them again, over the pooled connection on which it was rejected. A late copy of that rejection arrives there, has the request id of the call, and is taken for the answer to the second attempt, which runs. The id can't tell two attempts of one call apart. Evidence: attempts 1 and 3 of such a call were sent and rejected on one connection, while the upstream has one rejection and its copy in its record (docs/incidents/late-rejection.md).

Change: placement notes the addresses that a call was sent to; an attempt at one of them gets a connection of its own, which is closed after it. No answer to an earlier attempt can arrive there. The same holds on related paths: repeats after errors, resumed streams, an upstream that took over an address.

PlacementFilterTest has a table for the decision, UpstreamClientTest plays its cases over both kinds of connections. The texts of PlacementRun name a new connection, so StreamPlacementTest asks for one where a resume is refused; it checks more than before.

--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/http/UpstreamClient.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/http/UpstreamClient.kt
@@ -1,6 +1,7 @@
 package org.bilberrycart.gateway.http
 
 import java.io.ByteArrayOutputStream
+import java.io.Closeable
 import java.net.InetSocketAddress
 import java.nio.ByteBuffer
 import java.util.concurrent.CancellationException
@@ -127,6 +128,11 @@
 
         @Volatile private var isStream = false
 
+        @Volatile private var isCancelled = false
+
+        /** The connection that serves this attempt only; null if one is taken from the pool. */
+        @Volatile private var ownConnection: Closeable? = null
+
         fun start() {
             request.onRequestBegin { hasBegun = true }
                 .onResponseHeaders { response ->
@@ -134,11 +140,32 @@
                     onHead(protocol.readAnswerHead(response.status, fields))
                 }
                 .onResponseContentAsync { _, chunk, next -> onChunk(chunk.byteBuffer, next) }
-                .send(::onFinished)
+            if (order.needsNewConnection) sendOnNewConnection() else request.send(::onFinished)
+        }
+
+        private fun sendOnNewConnection() {
+            client.resolveDestination(request).newConnection().whenComplete { connection, cause ->
+                when (connection) {
+                    null -> onNoConnection(cause)
+                    else -> {
+                        ownConnection = connection
+                        if (!isCancelled) connection.send(request, ::onFinished)
+                        // A cancellation that came before this connection was known missed it.
+                        if (isCancelled) connection.close()
+                    }
+                }
+            }
+        }
+
+        private fun onNoConnection(cause: Throwable) {
+            attempts.remove(attempt)
+            placement(PlacementEvent.Unsent(attempt, cause.summary()))
         }
 
         fun cancel(why: String) {
+            isCancelled = true
             request.abort(CancellationException(why))
+            ownConnection?.close()
         }
 
         fun demand() {
@@ -190,6 +217,7 @@
 
         private fun onFinished(result: Result) {
             attempts.remove(attempt)
+            ownConnection?.close()
             bufferedBytes.addAndGet(-body.size().toLong())
             val answer = head
             val cause = result.failure
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/model/UpstreamEntry.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/model/UpstreamEntry.kt
@@ -15,4 +15,8 @@
     val slots: Int,
     val isLeaving: Boolean = false,
     val startedAtMillis: Long? = null,
-)
+) {
+    /** Where it listens, as HOST:PORT. */
+    public val address: String
+        get() = "$host:$port"
+}
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DecisionLog.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DecisionLog.kt
@@ -169,7 +169,7 @@
 
     private fun attemptSent(order: SendOrder, why: String) = log.info(
         "event=sent request={} call={} attempt={} upstream={} backup={} resumed_run={} " +
-            "left_ms={} load={} usable={} why=\"{}\"",
+            "left_ms={} load={} usable={} new_connection={} why=\"{}\"",
         order.call.head.requestId,
         order.attempt.call.number,
         order.attempt.number,
@@ -179,6 +179,7 @@
         order.timeLeft.inWholeMilliseconds,
         "%.1f".format(Locale.ROOT, order.load),
         order.usableUpstreams,
+        order.needsNewConnection,
         why,
     )
 
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/ActiveCall.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/ActiveCall.kt
@@ -18,6 +18,7 @@
  * @property possibleArrivals how many of the dispatches may have reached an upstream.
  * @property possibleRuns how many of the dispatches an upstream may have executed.
  * @property triedUpstreams the upstreams that the call was sent to.
+ * @property usedAddresses the addresses that the call was sent to, as HOST:PORT.
  * @property lostAttempts how many attempts failed after they may have reached their upstream.
  * @property isStreamOpen whether the caller has received the response head of a stream.
  * @property silentSince when the lost attempt of an open stream last sent something; null again
@@ -33,6 +34,7 @@
     val possibleArrivals: Int = 0,
     val possibleRuns: Int = 0,
     val triedUpstreams: PersistentSet<UpstreamId> = persistentSetOf(),
+    val usedAddresses: PersistentSet<String> = persistentSetOf(),
     val lostAttempts: Int = 0,
     val isStreamOpen: Boolean = false,
     val silentSince: Duration? = null,
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/CallPlacement.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/CallPlacement.kt
@@ -162,6 +162,7 @@
             load = selector.load(main),
             usableUpstreams = selector.usable.size,
             isUrgent = call.isStreamOpen,
+            needsNewConnection = main.entry.address in call.usedAddresses,
         )
         val updatedCall = call.copy(
             attempts = call.attempts.put(attempt.number, attempt),
@@ -169,6 +170,7 @@
             possibleArrivals = call.possibleArrivals + 1,
             possibleRuns = call.possibleRuns + 1,
             triedUpstreams = call.triedUpstreams.add(main.entry.id),
+            usedAddresses = call.usedAddresses.add(main.entry.address),
             kvCacheCopy = null,
             overBudgetSince = null,
         )
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/SendOrder.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/SendOrder.kt
@@ -14,6 +14,8 @@
  * @property load the estimated load of [upstream] when it was selected.
  * @property usableUpstreams how many upstreams could be selected.
  * @property isUrgent whether it goes before the requests queued at [upstream].
+ * @property needsNewConnection whether the call was sent to the same address before. An answer to
+ *   the earlier attempt may still arrive on its connection and bears the same request id.
  */
 public data class SendOrder(
     val attempt: AttemptKey,
@@ -25,4 +27,5 @@
     val load: Double = 0.0,
     val usableUpstreams: Int = 1,
     val isUrgent: Boolean = false,
+    val needsNewConnection: Boolean = false,
 )
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/http/UpstreamClientTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/http/UpstreamClientTest.kt
@@ -110,11 +110,12 @@
         val http = HttpClients.start("test", 5.seconds)
         afterSpec { http.stop() }
 
-        fun order(upstream: UpstreamEntry, retryRule: RetryRule) = SendOrder(
+        fun order(upstream: UpstreamEntry, retryRule: RetryRule, isNew: Boolean) = SendOrder(
             attempt = AttemptKey(CallKey(1), 1),
             call = Samples.call(Samples.route(retryRule)),
             upstream = upstream,
             timeLeft = 5.seconds,
+            needsNewConnection = isNew,
         )
 
         fun describe(event: PlacementEvent): String = when (event) {
@@ -125,8 +126,15 @@
             else -> event.toString()
         }
 
-        /** Sends a call to [upstream] and returns the events up to the end of the attempt. */
-        fun reports(upstream: UpstreamEntry, retryRule: RetryRule): List<String> {
+        /**
+         * Sends a call to [upstream], on a connection of its own if [isNew], and returns the events
+         * up to the end of the attempt.
+         */
+        fun reports(
+            upstream: UpstreamEntry,
+            retryRule: RetryRule,
+            isNew: Boolean = false,
+        ): List<String> {
             val events = LinkedBlockingQueue<Pair<String, Boolean>>()
             lateinit var client: UpstreamClient
             client = UpstreamClient(
@@ -146,7 +154,7 @@
                     }
                 },
             )
-            client.send(order(upstream, retryRule), lastEvent = null)
+            client.send(order(upstream, retryRule, isNew), lastEvent = null)
             return generateSequence { events.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS) }
                 .let { reported ->
                     val all = mutableListOf<String>()
@@ -218,8 +226,10 @@
                     reports = listOf("answered 200 part"),
                 ),
             ) { case ->
-                StubUpstream(case.answer, case.isReset).use { upstream ->
-                    reports(upstream.entry, case.retryRule) shouldBe case.reports
+                for (isNew in listOf(false, true)) {
+                    StubUpstream(case.answer, case.isReset).use { upstream ->
+                        reports(upstream.entry, case.retryRule, isNew) shouldBe case.reports
+                    }
                 }
             }
         }
@@ -227,7 +237,9 @@
         test("a refused connection is reported as unsent") {
             val port = ServerSocket(0).use { it.localPort }
             val entry = Samples.entry("u").copy(host = "127.0.0.1", port = port)
-            reports(entry, RetryRule.AtMostOnce) shouldBe listOf("unsent")
+            for (isNew in listOf(false, true)) {
+                reports(entry, RetryRule.AtMostOnce, isNew) shouldBe listOf("unsent")
+            }
         }
 
         context("the report of an engine") {
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/PlacementFilterTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/PlacementFilterTest.kt
@@ -7,6 +7,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlinx.collections.immutable.persistentListOf
 import org.bilberrycart.gateway.Samples
 import org.bilberrycart.gateway.model.CallKey
 import org.bilberrycart.gateway.model.RetryRule
@@ -158,6 +159,45 @@
             ) { check(it) }
         }
 
+        // Guards against a late copy of a rejection that is taken for the next attempt's answer.
+        context("an attempt at an address that had the call before uses a new connection") {
+            val rejected = PlacementEvent.Answered(
+                attempt(),
+                Samples.answer(503, didNotRun = true),
+            )
+            withData(
+                PlacementCase(
+                    "after a rejection by the only upstream",
+                    atMostOnce,
+                    upstreams = listOf("a"),
+                    last = rejected,
+                    actions = listOf("send a newly connected"),
+                ),
+                PlacementCase(
+                    "after an error of the only upstream",
+                    idempotent,
+                    upstreams = listOf("a"),
+                    last = PlacementEvent.Answered(attempt(), Samples.answer(500)),
+                    actions = listOf("send a newly connected"),
+                ),
+                PlacementCase(
+                    "but not at another upstream",
+                    atMostOnce,
+                    last = rejected,
+                    actions = listOf("send other"),
+                ),
+            ) { check(it) }
+
+            test("also at an upstream that took over the address") {
+                val run = PlacementRun()
+                val entries = listOf("a", "b").map { Samples.entry(it) }
+                run.step(PlacementEvent.UpstreamsListed(persistentListOf(entries.first())))
+                run.step(PlacementEvent.Submit(Samples.call(Samples.route(atMostOnce))))
+                run.step(PlacementEvent.UpstreamsListed(persistentListOf(entries.last())))
+                run.step(rejected) shouldBe listOf("send b newly connected")
+            }
+        }
+
         context("a call without an upstream") {
             withData(
                 PlacementCase(
@@ -210,4 +250,4 @@
 
 /** Replaces the name of an untried upstream by "other", as the first selection is random. */
 private fun String.replaceOther(chosen: List<String>): String =
-    if (startsWith("send ") && removePrefix("send ") !in chosen) "send other" else this
+    if (startsWith("send ") && split(" ")[1] !in chosen) "send other" else this
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/PlacementRun.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/PlacementRun.kt
@@ -40,7 +40,7 @@
     fun register(vararg ids: String): List<String> = step(
         PlacementEvent.UpstreamsListed(
             ids.map {
-                Samples.entry(it.take(1), it.drop(1))
+                Samples.entry(it.take(1), it.drop(1)).copy(host = "host-${it.take(1)}")
             }.toPersistentList(),
         ),
     )
@@ -50,6 +50,7 @@
             "send ${action.order.upstream.id.value}",
             action.order.backup?.let { "backup ${it.id.value}" },
             action.order.resumesFrom?.let { "from ${it.requestId}" },
+            "newly connected".takeIf { action.order.needsNewConnection },
         ).joinToString(" ")
         is PlacementAction.Cancel -> "cancel ${action.attempt.number}"
         is PlacementAction.Deliver -> "deliver ${action.answer.head.status}"
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/StreamPlacementTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/StreamPlacementTest.kt
@@ -67,7 +67,7 @@
                         attempt(2),
                         Samples.answer(503, didNotRun = true),
                     ),
-                    actions = listOf("send second"),
+                    actions = listOf("send second newly connected"),
                 ),
                 StreamCase(
                     "reports the length of the interruption at its next event",
