Send streams in chunks also if their connection closes after them

Cause: a stopping node sets Connection: close, Jetty then drops the chunks, and the end of the connection ends the answer; breaking it off closes the connection in order. Evidence: BreakOff(openCalls=4) and no line "ended" for the four calls, while the callers' record has "framing end of the connection".

Change: a streamed answer always asks for chunks; where the caller speaks HTTP/1.0, breaking off resets the connection. The same cause on a related path: a caller that asks with Connection: close got that framing at any time. event=answer_cut names each answer that is broken off.

--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/http/CallerExchange.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/http/CallerExchange.kt
@@ -1,14 +1,21 @@
 package org.bilberrycart.gateway.http
 
+import java.io.IOException
+import java.net.StandardSocketOptions
 import java.nio.ByteBuffer
+import java.nio.channels.SocketChannel
 import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.withLock
 import org.bilberrycart.gateway.model.Body
 import org.bilberrycart.gateway.model.Header
+import org.eclipse.jetty.http.HttpHeader
+import org.eclipse.jetty.http.HttpVersion
 import org.eclipse.jetty.io.EofException
+import org.eclipse.jetty.io.SocketChannelEndPoint
 import org.eclipse.jetty.server.Request
 import org.eclipse.jetty.server.Response
 import org.eclipse.jetty.util.Callback
+import org.slf4j.LoggerFactory
 
 /**
  * The answer to one caller, written asynchronously: chunks queue while an earlier one is written.
@@ -26,6 +33,7 @@
     /** Tells whether the caller has closed its connection; null if that can't be told. */
     @Volatile var watch: CloseWatch.Watch? = null
 
+    private val knowsChunks = request.connectionMetaData.httpVersion >= HttpVersion.HTTP_1_1
     private val lock = ReentrantLock()
     private var isOpen = false
     private var isWriting = false
@@ -35,11 +43,21 @@
     private class Chunk(val bytes: ByteArray, val isLast: Boolean, val onReady: () -> Unit)
 
     /**
-     * Sets the status and headers of the answer, which are sent with its first bytes.
+     * Sets the status and headers of a streamed answer, which are sent with its first bytes.
+     *
+     * The answer is sent in chunks, also if its connection closes after it: only then can the
+     * caller tell that it was broken off. A caller of HTTP/1.0 knows no chunks; [abort] resets its
+     * connection instead.
      *
      * Returns false and changes nothing if the answer was opened before.
      */
-    fun open(status: Int, headers: List<Header>): Boolean = lock.withLock {
+    fun openStream(status: Int, headers: List<Header>): Boolean {
+        val isFirst = open(status, headers)
+        if (isFirst && knowsChunks) response.headers.put(HttpHeader.TRANSFER_ENCODING, "chunked")
+        return isFirst
+    }
+
+    private fun open(status: Int, headers: List<Header>): Boolean = lock.withLock {
         if (isOpen) return false
         isOpen = true
         response.status = status
@@ -64,10 +82,16 @@
         if (open(status, headers)) complete(body) else abort("a stream had begun")
     }
 
-    /** Aborts the answer by closing the connection; [why] is passed to Jetty as the failure. */
+    /**
+     * Aborts the answer by ending the connection; [why] is passed to Jetty as the failure.
+     *
+     * An answer without chunks or a length would look complete after an orderly close.
+     */
     fun abort(why: String) {
         if (!end()) return
-        request.connectionMetaData.connection.endPoint.close()
+        val endPoint = request.connectionMetaData.connection.endPoint
+        if (!knowsChunks) (endPoint as? SocketChannelEndPoint)?.resetOnClose()
+        endPoint.close()
         callback.failed(EofException(why))
     }
 
@@ -116,3 +140,14 @@
         return isFirstEnd
     }
 }
+
+private fun SocketChannelEndPoint.resetOnClose() {
+    try {
+        (channel as SocketChannel).setOption(StandardSocketOptions.SO_LINGER, 0)
+    } catch (e: IOException) {
+        // The caller has closed the connection, so that it does not wait for an end.
+        log.debug("event=reset_not_set cause={}", e.toString())
+    }
+}
+
+private val log = LoggerFactory.getLogger(CallerExchange::class.java)
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/http/OpenExchanges.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/http/OpenExchanges.kt
@@ -10,6 +10,7 @@
 import org.eclipse.jetty.server.Request
 import org.eclipse.jetty.server.Response
 import org.eclipse.jetty.util.Callback
+import org.slf4j.LoggerFactory
 
 /** The exchanges of calls whose answer is not complete, by key; each gets exactly one answer. */
 public class OpenExchanges(private val protocol: CallProtocol) {
@@ -58,7 +59,7 @@
 
     /** Sets the status and headers of a streamed answer. */
     public fun open(key: CallKey, head: AnswerHead) {
-        exchanges[key]?.open(head.status, head.headers)
+        exchanges[key]?.openStream(head.status, head.headers)
     }
 
     /** Writes a chunk of a streamed answer and calls [onReady] when more can be sent. */
@@ -73,9 +74,15 @@
 
     /** Aborts the answer to the call with [key] by closing the caller's connection. */
     public fun abort(key: CallKey, why: String) {
-        exchanges.remove(key)?.abort(why)
+        val exchange = exchanges.remove(key) ?: return
+        log.info("event=answer_cut call={} why=\"{}\"", key.number, why)
+        exchange.abort(why)
     }
 
     /** Aborts all open answers, for example because the node stops. */
     public fun abortAll(why: String): Unit = exchanges.keys.forEach { abort(it, why) }
+
+    private companion object {
+        val log = LoggerFactory.getLogger(OpenExchanges::class.java)
+    }
 }
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/http/CallerExchangeTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/http/CallerExchangeTest.kt
@@ -11,6 +11,7 @@
 import org.bilberrycart.gateway.model.Body
 import org.eclipse.jetty.client.BufferingResponseListener
 import org.eclipse.jetty.client.Result
+import org.eclipse.jetty.http.HttpVersion
 import org.eclipse.jetty.server.Handler
 import org.eclipse.jetty.server.Request
 import org.eclipse.jetty.server.Response
@@ -31,9 +32,20 @@
     override fun dataTestName(): String = name
 }
 
+/** The connection of a caller, which the node or the caller may want to close after the answer. */
+private data class ConnectionCase(
+    val name: String,
+    val version: HttpVersion = HttpVersion.HTTP_1_1,
+    val callerCloses: Boolean = false,
+    val nodeCloses: Boolean = false,
+) : WithDataTestName {
+    override fun dataTestName(): String = name
+}
+
 private const val TIMEOUT_SECONDS = 20L
 
-private val open = { exchange: CallerExchange -> Unit.also { exchange.open(200, emptyList()) } }
+private val open =
+    { exchange: CallerExchange -> Unit.also { exchange.openStream(200, emptyList()) } }
 private val write = { exchange: CallerExchange ->
     val written = CountDownLatch(1)
     exchange.write(Body.of("part ")) { written.countDown() }
@@ -49,22 +61,32 @@
         val client = HttpClients.start("caller", 5.seconds)
         afterSpec { client.stop() }
 
-        fun serve(steps: List<(CallerExchange) -> Unit>): Server = Server().apply {
+        fun serve(
+            steps: List<(CallerExchange) -> Unit>,
+            connection: ConnectionCase,
+        ): Server = Server().apply {
             addConnector(ServerConnector(this))
             handler = object : Handler.Abstract() {
                 override fun handle(request: Request, response: Response, callback: Callback) =
                     true.also {
-                        val exchange = CallerExchange(request, response, callback, { false })
+                        val exchange = CallerExchange(
+                            request,
+                            response,
+                            callback,
+                            shouldClose = { connection.nodeCloses },
+                        )
                         steps.forEach { it(exchange) }
                     }
             }
             start()
         }
 
-        fun outcome(server: Server): String {
+        fun outcome(server: Server, connection: ConnectionCase): String {
             val seen = CompletableFuture<String>()
             val port = (server.connectors.single() as ServerConnector).localPort
-            client.newRequest("http://127.0.0.1:$port/").send(
+            val request = client.newRequest("http://127.0.0.1:$port/").version(connection.version)
+            if (connection.callerCloses) request.headers { it.put("Connection", "close") }
+            request.send(
                 object : BufferingResponseListener() {
                     override fun onComplete(result: Result) {
                         val answer = result.response?.status.toString() + " " + contentAsString
@@ -75,19 +97,30 @@
             return seen.get(TIMEOUT_SECONDS, TimeUnit.SECONDS)
         }
 
-        withData(
+        val exchanges = listOf(
             ExchangeCase("a whole answer", listOf(refuse), "503 refused"),
             ExchangeCase("a whole stream", listOf(open, write, write, complete), "200 part part "),
             ExchangeCase("a stream that is aborted", listOf(open, write, abort), "broken"),
             ExchangeCase("an answer after a stream began", listOf(open, write, refuse), "broken"),
             ExchangeCase("an answer after a stream opened", listOf(open, refuse), "broken"),
             ExchangeCase("a stream after an answer", listOf(refuse, open), "503 refused"),
-        ) { case ->
-            val server = serve(case.steps)
-            try {
-                outcome(server) shouldBe case.outcome
-            } finally {
-                server.stop()
+        )
+
+        // Guards against a broken stream that looks complete since its connection closes (ORDER).
+        withData(
+            ConnectionCase("a connection that is kept"),
+            ConnectionCase("a node that closes", nodeCloses = true),
+            ConnectionCase("a caller that closes", callerCloses = true),
+            ConnectionCase("a caller and a node that close", callerCloses = true, nodeCloses = true),
+            ConnectionCase("a caller of HTTP/1.0", HttpVersion.HTTP_1_0),
+        ) { connection ->
+            withData(exchanges) { case ->
+                val server = serve(case.steps, connection)
+                try {
+                    outcome(server, connection) shouldBe case.outcome
+                } finally {
+                    server.stop()
+                }
             }
         }
     })
