Take a stream from a silent engine only if it can go on at another one

Found by reading, looking for it: an engine that answers no probe for 150 ms counts as dead, and its streams were taken from it also if they had no attempt left, no retry budget or no other engine. Then they were broken off, though a sound engine may be silent for a second and go on.

Change: a stream is given up at a silent engine only if it can be placed at once; else it stays and each tick asks again. The same holds for a stream that stalls at an engine that answers probes.

--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/CallPlacement.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/CallPlacement.kt
@@ -60,6 +60,21 @@
         }
     }
 
+    /**
+     * Returns whether [call] could be sent to an upstream at once.
+     *
+     * An attempt whose upstream is silent is given up only then: the upstream may go on, and the
+     * call would end for want of an attempt, of the retry budget or of an upstream.
+     */
+    fun canPlace(state: PlacementState, call: ActiveCall, now: Duration): Boolean {
+        val selector = LeastLoadedSelector(state, call.call.service.name, now)
+        return call.hasAttemptsLeft &&
+            state.mayStart(call) &&
+            state.parts.blockedAmong(call.call.head.sharedParts, now) == null &&
+            retryBudgets.allows(state, call, now) &&
+            selector.usable.isNotEmpty()
+    }
+
     /** Keeps a stream waiting for the retry budget for a limited time; fails other calls. */
     private fun awaitBudget(
         state: PlacementState,
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/LossRecovery.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/LossRecovery.kt
@@ -75,7 +75,11 @@
         ).then { attemptLost(it, call, attempt, why, now) }
     }
 
-    /** Marks upstream [id], which does not respond, as down and retries its retryable calls. */
+    /**
+     * Marks upstream [id], which does not respond, as down and retries its retryable calls.
+     *
+     * A stream that can't go on elsewhere stays, since the upstream may only be silent.
+     */
     fun upstreamDead(
         state: PlacementState,
         id: UpstreamId,
@@ -87,10 +91,21 @@
         }
         return affected.fold(markDown(state, id, cause, now)) { step, call ->
             val attempt = call.attempts.values.first { it.upstream == id }
-            step.then { next -> abandon(next, call, attempt, cause, now) }
+            step.then { next ->
+                when {
+                    mayGiveUp(next, call, now) -> abandon(next, call, attempt, cause, now)
+                    else -> Step(next)
+                }
+            }
         }
     }
 
+    private fun mayGiveUp(state: PlacementState, call: ActiveCall, now: Duration): Boolean =
+        when (call.call.route.retryRule) {
+            is RetryRule.Stream -> callPlacement.canPlace(state, call, now)
+            RetryRule.Idempotent, RetryRule.AtMostOnce -> true
+        }
+
     private fun attemptLost(
         state: PlacementState,
         call: ActiveCall,
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/TimeoutChecks.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/TimeoutChecks.kt
@@ -103,7 +103,9 @@
         }
         val silenceLimit = if (attempt.hasEvents) settings.streamSilence else settings.startSilence
         return when {
-            silence > stallLimit && call.hasAttemptsLeft && call.call.route.retryRule.isRetryable ->
+            silence > stallLimit &&
+                call.call.route.retryRule.isRetryable &&
+                callPlacement.canPlace(state, call, now) ->
                 lossRecovery.abandon(
                     state,
                     call,
