Read answers of the store of more than 512 KiB, in one or on one connection

What a node would show: a table whose part has more than 512 KiB can't be read at all, and the connection to the store ends each time it has brought 512 KiB, so that the store is "lost" and "back" again and again.

Cause: an endpoint ends a connection on which 512 KiB arrive that never become content, which guards against bytes without end. Only calls told their endpoint of content; requests to the store and for a peer's copy of a table didn't.

Change: WholeAnswerListener collects a whole answer and tells the endpoint. The store, peers' copies, probes and reports of engines use it.

--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/http/HttpClients.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/http/HttpClients.kt
@@ -24,6 +24,9 @@
     /**
      * Returns a started client that closes a connection after [idle] without traffic.
      *
+     * A connection ends as well when it brings 512 KiB that are no content of an answer. Requests
+     * for whole answers use a [WholeAnswerListener], so that content is counted.
+     *
      * The client's threads are named after [name].
      */
     public fun start(name: String, idle: Duration): HttpClient {
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/http/UpstreamClient.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/http/UpstreamClient.kt
@@ -21,7 +21,6 @@
 import org.bilberrycart.gateway.placement.PlacementEvent
 import org.bilberrycart.gateway.placement.SendOrder
 import org.bilberrycart.gateway.relay.RelayEvent
-import org.eclipse.jetty.client.BufferingResponseListener
 import org.eclipse.jetty.client.BytesRequestContent
 import org.eclipse.jetty.client.HttpClient
 import org.eclipse.jetty.client.Request
@@ -84,7 +83,7 @@
     fun probe(upstream: UpstreamEntry, timeout: Duration) {
         newRequest(upstream).path(protocol.probeTarget)
             .timeout(timeout.inWholeMilliseconds, TimeUnit.MILLISECONDS)
-            .send(object : BufferingResponseListener(MAX_REPORT_BYTES) {
+            .send(object : WholeAnswerListener(MAX_REPORT_BYTES) {
                 override fun onComplete(result: Result) {
                     val cause = result.failure?.summary() ?: contentAsString.orEmpty()
                     placement(PlacementEvent.Probed(upstream.id, result.isSucceeded, cause))
@@ -99,7 +98,7 @@
     fun identify(upstream: UpstreamEntry, timeout: Duration, onReport: (EngineReport?) -> Unit) {
         newRequest(upstream).path(protocol.probeTarget)
             .timeout(timeout.inWholeMilliseconds, TimeUnit.MILLISECONDS)
-            .send(object : BufferingResponseListener(MAX_REPORT_BYTES) {
+            .send(object : WholeAnswerListener(MAX_REPORT_BYTES) {
                 override fun onComplete(result: Result) {
                     val isReport = result.isSucceeded && result.response.status == HttpStatus.OK_200
                     onReport(
@@ -110,12 +109,7 @@
     }
 
     private fun newRequest(upstream: UpstreamEntry): Request =
-        client.newRequest(upstream.host, upstream.port).onRequestCommit(::noteProgress)
-
-    private fun noteProgress(request: Request) {
-        val connection = request.connection as? Connection
-        (connection?.endPoint as? ResetAwareEndPoint)?.noteProgress()
-    }
+        client.newRequest(upstream.host, upstream.port).onRequestCommit { it.noteProgress() }
 
     private inner class SentAttempt(private val order: SendOrder, private val request: Request) {
         private val attempt = order.attempt
@@ -197,7 +191,7 @@
         }
 
         private fun onChunk(buffer: ByteBuffer, next: Runnable) {
-            noteProgress(request)
+            request.noteProgress()
             val bytes = ByteArray(buffer.remaining()).also { buffer.get(it) }
             if (isStream) {
                 pendingDemand.set(next)
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/PeerLinks.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/PeerLinks.kt
@@ -12,6 +12,7 @@
 import org.bilberrycart.gateway.discovery.DiscoveryState
 import org.bilberrycart.gateway.discovery.StoreTable
 import org.bilberrycart.gateway.http.StatusHandler
+import org.bilberrycart.gateway.http.WholeAnswerListener
 import org.bilberrycart.gateway.model.CallFingerprint
 import org.bilberrycart.gateway.model.ServiceName
 import org.bilberrycart.gateway.model.UpstreamId
@@ -28,7 +29,6 @@
 import org.bilberrycart.pipeline.Clock
 import org.bilberrycart.pipeline.Ring
 import org.bilberrycart.timer.Ticker
-import org.eclipse.jetty.client.BufferingResponseListener
 import org.eclipse.jetty.client.HttpClient
 import org.eclipse.jetty.client.Result
 
@@ -74,7 +74,7 @@
     fun requestTable(action: DiscoveryAction.AskPeer) {
         client.newRequest("http://${action.address}${StatusHandler.TABLE_PATH}${action.table.name}")
             .timeout(TABLE_TIMEOUT.inWholeMilliseconds, TimeUnit.MILLISECONDS)
-            .send(object : BufferingResponseListener(MAX_TABLE_BYTES) {
+            .send(object : WholeAnswerListener(MAX_TABLE_BYTES) {
                 override fun onComplete(result: Result) {
                     val copy = content?.takeIf { result.isSucceeded }?.let(GossipCodec::decodeTable)
                     log.tableRequested(
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/http/UpstreamClientTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/http/UpstreamClientTest.kt
@@ -43,6 +43,7 @@
 }
 
 private const val TIMEOUT_SECONDS = 20L
+private const val FAR_TOO_LONG_BYTES = 4 * 1024 * 1024
 private const val SIGNED = "X-Id: r1\r\nX-Signed: yes\r\n"
 
 private fun completeAnswer(status: String, body: String, headers: String = SIGNED) =
@@ -247,6 +248,12 @@
                 IdentityCase("its models", completeAnswer("200 OK", "m:large"), setOf("large")),
                 IdentityCase("a report that can't be read", completeAnswer("200 OK", "x"), null),
                 IdentityCase("an error status", completeAnswer("404 Not Found", "m:large"), null),
+                IdentityCase(
+                    "a report without end",
+                    completeAnswer("200 OK", "m:" + "x".repeat(FAR_TOO_LONG_BYTES)),
+                    null,
+                ),
+                IdentityCase("a head without end", "x".repeat(FAR_TOO_LONG_BYTES), null),
                 IdentityCase(
                     "a truncated report",
                     completeAnswer("200 OK", "m:large").dropLast(1),
