Cancel the longest of all answers, not the next one, when they are too long

Cause: one bound for all answers, enforced on whoever meets it.

Change: the longest answer is cancelled. A cancelled one stops counting at once, else its neighbours would follow before it has ended. The limits are a type of their own, AnswerLimits.

--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/http/UpstreamClient.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/http/UpstreamClient.kt
@@ -40,6 +40,7 @@
     private val protocol: CallProtocol,
     private val placement: (PlacementEvent) -> Unit,
     private val relay: (RelayEvent) -> Unit,
+    private val limits: AnswerLimits = AnswerLimits(),
 ) {
     private val attempts = ConcurrentHashMap<AttemptKey, SentAttempt>()
 
@@ -111,10 +112,21 @@
     private fun newRequest(upstream: UpstreamEntry): Request =
         client.newRequest(upstream.host, upstream.port).onRequestCommit { it.noteProgress() }
 
+    /** Ends the longest answer, which is the likeliest to have no end, and no other call. */
+    private fun cancelLongest() {
+        attempts.values.maxByOrNull { it.keptBytes }
+            ?.cancel("all answers together are too long, this one most")
+    }
+
     private inner class SentAttempt(private val order: SendOrder, private val request: Request) {
         private val attempt = order.attempt
         private val pendingDemand = AtomicReference<Runnable?>()
         private val body = ByteArrayOutputStream()
+        private val kept = AtomicLong()
+
+        /** How many bytes of the answer count towards [AnswerLimits.totalBytes]. */
+        val keptBytes: Long
+            get() = kept.get()
 
         @Volatile private var hasBegun = false
 
@@ -158,6 +170,7 @@
 
         fun cancel(why: String) {
             isCancelled = true
+            release()
             request.abort(CancellationException(why))
             ownConnection?.close()
         }
@@ -203,16 +216,24 @@
         }
 
         private fun keep(bytes: ByteArray) {
-            val total = bufferedBytes.addAndGet(bytes.size.toLong())
+            if (isCancelled) return
             body.write(bytes)
-            if (body.size() > MAX_ANSWER_BYTES) cancel("answer too long")
-            if (total > MAX_BUFFERED_BYTES) cancel("all answers together are too long")
+            kept.addAndGet(bytes.size.toLong())
+            val total = bufferedBytes.addAndGet(bytes.size.toLong())
+            when {
+                body.size() > limits.answerBytes -> cancel("answer too long")
+                total > limits.totalBytes -> cancelLongest()
+            }
+        }
+
+        private fun release() {
+            bufferedBytes.addAndGet(-kept.getAndSet(0))
         }
 
         private fun onFinished(result: Result) {
             attempts.remove(attempt)
             ownConnection?.close()
-            bufferedBytes.addAndGet(-body.size().toLong())
+            release()
             val answer = head
             val cause = result.failure
             when {
@@ -232,10 +253,6 @@
 
     private companion object {
         const val MAX_REPORT_BYTES = 64 * 1024
-        const val MAX_ANSWER_BYTES = 8 * 1024 * 1024
-
-        /** Bounds the memory that upstreams can take which send bodies without end. */
-        const val MAX_BUFFERED_BYTES = 24L * 1024 * 1024
         val log = LoggerFactory.getLogger(UpstreamClient::class.java)
     }
 }
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/http/UpstreamClientTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/http/UpstreamClientTest.kt
@@ -11,16 +11,10 @@
 import java.util.concurrent.TimeUnit
 import kotlin.concurrent.thread
 import kotlin.time.Duration.Companion.seconds
-import kotlinx.collections.immutable.persistentSetOf
-import kotlinx.collections.immutable.toPersistentList
 import org.bilberrycart.gateway.Samples
-import org.bilberrycart.gateway.model.AnswerHead
 import org.bilberrycart.gateway.model.AttemptKey
-import org.bilberrycart.gateway.model.Body
 import org.bilberrycart.gateway.model.CallKey
 import org.bilberrycart.gateway.model.EngineReport
-import org.bilberrycart.gateway.model.Header
-import org.bilberrycart.gateway.model.Refusal
 import org.bilberrycart.gateway.model.RetryRule
 import org.bilberrycart.gateway.model.UpstreamEntry
 import org.bilberrycart.gateway.placement.PlacementEvent
@@ -52,34 +46,6 @@
 private fun chunked(end: String) =
     "HTTP/1.1 200 OK\r\n${SIGNED}Transfer-Encoding: chunked\r\n\r\n7\r\nid: 1\n\n\r\n$end"
 
-/** A minimal protocol with its own header names. */
-private object TestProtocol : CallProtocol {
-    override val probeTarget = "/report"
-    override val readinessTarget = "/ready"
-
-    override fun readRequestHead(method: String, target: String, headers: List<Header>) =
-        HeadResult.Refused(Refusal.Malformed("not used"))
-
-    override fun upstreamHeaders(order: SendOrder, lastEvent: Long?) =
-        listOf(Header("X-Id", order.call.head.requestId))
-
-    override fun readAnswerHead(status: Int, headers: List<Header>) = AnswerHead(
-        status = status,
-        headers = headers.toPersistentList(),
-        requestId = headers.firstOrNull { it.name == "X-Id" }?.value,
-        isSigned = headers.any { it.name == "X-Signed" },
-        didNotRun = false,
-        isMisdirected = false,
-    )
-
-    override fun readEngineReport(body: Body): EngineReport? = body.text()
-        .takeIf { it.startsWith("m:") }
-        ?.let { EngineReport(persistentSetOf(it.drop(2)), startedAtMillis = null) }
-
-    override fun refusalAnswer(refusal: Refusal, requestId: String?) =
-        RefusalAnswer(500, emptyList(), Body.EMPTY)
-}
-
 /** Answers one connection with [answer], if any, then closes it, or resets it if [isReset]. */
 private class StubUpstream(private val answer: String?, private val isReset: Boolean = false) :
     AutoCloseable {
