Answer calls that a stopping node can't finish, and refuse late long ones

Cause: the intake of a stopping node looked at the kind of a request, not at its deadline, and the end of the grace closed connections without asking what could still be said of their requests.

Change: from 2.5 s after SIGTERM a call is taken only if its deadline lies before the break-off, else it is refused as not run. The break-off goes through placement, so that a call that has not run gets 503, one that may have run 502, and only streams that have begun are cut. The process ends once these answers are written.

EntryFilterTest has three new cases.

--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/entry/EntryFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/entry/EntryFilter.kt
@@ -58,7 +58,7 @@
             needsKey && organisation == null -> refuse(state, event, Refusal.UnknownKey)
             event.body.size > configuration.limits.bodyBytes ->
                 refuse(state, event, Refusal.TooLarge)
-            !state.intake.accepts(route.retryRule) ->
+            !state.intake.accepts(route.retryRule, deadline(event, route)) ->
                 refuse(state, event, Refusal.NotRun("the node stops", STOPPING_RETRY_AFTER))
             else -> forward(state, configuration, event, route, organisation)
         }
@@ -85,7 +85,6 @@
         service: ServiceConfig,
         organisation: String?,
     ): RoutedCall {
-        val callerDeadline = event.arrivedAt + (event.head.timeLeft ?: route.timeout)
         return RoutedCall(
             key = event.key,
             head = event.head,
@@ -94,11 +93,17 @@
             service = service,
             organisation = organisation,
             arrivedAt = event.arrivedAt,
-            deadline = minOf(event.arrivedAt + route.timeout, callerDeadline),
-            callerDeadline = callerDeadline,
+            deadline = deadline(event, route),
+            callerDeadline = callerDeadline(event, route),
         )
     }
 
+    private fun callerDeadline(event: EntryEvent.Received, route: RouteRule): Duration =
+        event.arrivedAt + (event.head.timeLeft ?: route.timeout)
+
+    private fun deadline(event: EntryEvent.Received, route: RouteRule): Duration =
+        minOf(event.arrivedAt + route.timeout, callerDeadline(event, route))
+
     private fun chooseService(
         configuration: ServingConfiguration,
         route: RouteRule,
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/lifecycle/LifecycleFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/lifecycle/LifecycleFilter.kt
@@ -10,9 +10,10 @@
 /**
  * Decides when a node is ready and how it shuts down.
  *
- * During shutdown the node first reports that it is not ready, then refuses streams. Once the
- * balancer sends no more callers and all calls are answered, or [grace] is nearly over, it closes
- * its connections, and exits when the last request that it read is answered.
+ * During shutdown the node first reports that it is not ready, then refuses streams, then calls
+ * that may outlast [grace]. Once the balancer sends no more callers and all calls are answered, or
+ * [grace] is nearly over, it closes its connections, and exits when the last request that it read
+ * is answered. What is open shortly before the end of [grace] is ended with an error.
  *
  * @property grace the time from the request to stop until the process is killed.
  */
@@ -62,18 +63,21 @@
     ): Step<LifecycleState, LifecycleAction> {
         if (state !is LifecycleState.Draining) return Step(state)
         val elapsed = now - state.since
+        val breakOffAt = grace - BREAK_OFF_RESERVE
         return when {
-            elapsed >= grace - CLOSE_RESERVE -> Step(
+            elapsed >= grace - EXIT_RESERVE || state.isBrokenOff && openCalls == 0 -> Step(
                 LifecycleState.Stopped,
-                persistentListOf(
-                    LifecycleAction.BreakOff(openCalls),
-                    LifecycleAction.Exit(openCalls),
-                ),
+                persistentListOf(LifecycleAction.Exit(openCalls)),
             )
+            elapsed >= breakOffAt && !state.isBrokenOff ->
+                state.copy(isBrokenOff = true).withActions(LifecycleAction.BreakOff(openCalls))
             state.closedAt == null && mustClose(elapsed, openCalls) ->
                 state.copy(closedAt = now).withActions(LifecycleAction.StopAccepting)
             elapsed >= STREAM_ACCEPTANCE && state.acceptsStreams ->
                 state.copy(acceptsStreams = false).withActions(LifecycleAction.RefuseStreams)
+            elapsed >= LONG_CALL_ACCEPTANCE && state.acceptsLongCalls ->
+                state.copy(acceptsLongCalls = false)
+                    .withActions(LifecycleAction.RefuseLongCalls(state.since + breakOffAt))
             openCalls == 0 && state.closedAt?.let { now - it >= CLOSE_SETTLE } == true -> Step(
                 LifecycleState.Stopped,
                 persistentListOf(LifecycleAction.Exit(openCalls)),
@@ -104,7 +108,13 @@
         /** Requests that were read when the connections closed are answered within this time. */
         val CLOSE_SETTLE = 200.milliseconds
 
-        /** Reserved for closing connections before the process is killed. */
-        val CLOSE_RESERVE = 900.milliseconds
+        /** Calls that start later than this must be answered before they would be broken off. */
+        val LONG_CALL_ACCEPTANCE = 2500.milliseconds
+
+        /** How long before the process is killed the calls that are still open are ended. */
+        val BREAK_OFF_RESERVE = 900.milliseconds
+
+        /** Reserved for the end of the process before it is killed. */
+        val EXIT_RESERVE = 600.milliseconds
     }
 }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/lifecycle/LifecycleState.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/lifecycle/LifecycleState.kt
@@ -14,11 +14,15 @@
     /**
      * The node was asked to stop at [since] and finishes its open calls.
      *
+     * @property acceptsLongCalls whether it accepts calls that may outlast the grace.
+     * @property isBrokenOff whether it has ended the calls that were still open.
      * @property closedAt when it stopped to accept connections; null while it accepts them.
      */
     public data class Draining(
         val since: Duration,
         val acceptsStreams: Boolean = true,
+        val acceptsLongCalls: Boolean = true,
+        val isBrokenOff: Boolean = false,
         val closedAt: Duration? = null,
     ) : LifecycleState()
 
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/GatewayNode.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/GatewayNode.kt
@@ -221,8 +221,15 @@
                 rings.entry.put(EntryEvent.IntakeLimited(RequestIntake.None))
                 httpServer.stopAccepting()
             }
-            is LifecycleAction.BreakOff -> exchanges.abortAll("the node stops")
-            is LifecycleAction.Exit -> stopped.countDown()
+            is LifecycleAction.RefuseLongCalls -> {
+                val intake = RequestIntake.ShortCallsOnly(action.until)
+                rings.entry.put(EntryEvent.IntakeLimited(intake))
+            }
+            is LifecycleAction.BreakOff -> rings.placement.put(PlacementEvent.NodeStops)
+            is LifecycleAction.Exit -> {
+                exchanges.abortAll("the node stops")
+                stopped.countDown()
+            }
         }
     }
 
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementEvent.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementEvent.kt
@@ -81,6 +81,9 @@
         val startedAtMillis: Long?,
     ) : PlacementEvent()
 
+    /** The node stops, so that no call can go on. */
+    public data object NodeStops : PlacementEvent()
+
     /** The periodic check of timeouts is due. */
     public data object Tick : PlacementEvent()
 }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementFilter.kt
@@ -48,10 +48,20 @@
                 withPeerLoads(withPeerReport(state, event), event, now),
             ).then { PartChecks.reported(it, event.partReports, now) }
                 .then { PartChecks.failUnbegun(state.parts, it, now) }
+        PlacementEvent.NodeStops -> endAll(state, now)
         PlacementEvent.Tick ->
             UpstreamRegistry.removeExpired(state, now).then { timeoutChecks.check(it, now) }
     }
 
+    /** Ends all calls; each caller learns whether its call may have run. */
+    private fun endAll(
+        state: PlacementState,
+        now: Duration,
+    ): Step<PlacementState, PlacementAction> =
+        state.calls.values.fold(Step(state)) { step, call ->
+            step.then { CallCompletion.fail(it, call, "the node stops", now) }
+        }
+
     private fun answered(
         state: PlacementState,
         event: PlacementEvent.Answered,
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/entry/EntryFilterTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/entry/EntryFilterTest.kt
@@ -5,6 +5,7 @@
 import io.kotest.engine.names.WithDataTestName
 import io.kotest.matchers.shouldBe
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
@@ -120,6 +121,27 @@
                 intake = RequestIntake.CallsOnly,
                 outcome = "short club 1",
             ),
+            EntryCase(
+                "a call that ends in time is forwarded when only short calls are accepted",
+                listOf(configuration()),
+                head().copy(timeLeft = 100.milliseconds),
+                intake = RequestIntake.ShortCallsOnly(until = 100.milliseconds),
+                outcome = "short club 1",
+            ),
+            EntryCase(
+                "a call that may outlast the node is refused when only short ones are accepted",
+                listOf(configuration()),
+                head().copy(timeLeft = 101.milliseconds),
+                intake = RequestIntake.ShortCallsOnly(until = 100.milliseconds),
+                outcome = "NotRun",
+            ),
+            EntryCase(
+                "a stream is refused when only short calls are accepted",
+                listOf(configuration()),
+                head("/a/s/1").copy(timeLeft = 100.milliseconds),
+                intake = RequestIntake.ShortCallsOnly(until = 100.milliseconds),
+                outcome = "NotRun",
+            ),
             EntryCase(
                 "a call is refused when no request is accepted",
                 listOf(configuration()),
