--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/http/UpstreamClient.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/http/UpstreamClient.kt
@@ -58,6 +58,17 @@
      * at its first event if null.
      */
     fun send(order: SendOrder, lastEvent: Long?) {
+        try {
+            SentAttempt(order, request(order, lastEvent)).also { attempts[order.attempt] = it }
+                .start()
+        } catch (e: RuntimeException) {
+            // The HTTP client rejects what it can't write, for instance a port out of range.
+            attempts.remove(order.attempt)
+            placement(PlacementEvent.Unsent(order.attempt, e.summary()))
+        }
+    }
+
+    private fun request(order: SendOrder, lastEvent: Long?): Request {
         val request = newRequest(order.upstream)
             .method(order.call.head.method)
             .path(order.call.head.target)
@@ -67,7 +78,7 @@
         if (order.call.body.size > 0) {
             request.body(BytesRequestContent(null as String?, order.call.body.bytes))
         }
-        SentAttempt(order, request).also { attempts[order.attempt] = it }.start()
+        return request
     }
 
     /** Closes the connection of [attempt], so that its upstream stops working on the call. */
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DecisionLog.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DecisionLog.kt
@@ -146,10 +146,11 @@
     )
 
     fun tableRead(action: DiscoveryAction.Publish, unreadable: List<String>) = log.info(
-        "event=table_read table={} rows={} unreadable={}",
+        "event=table_read table={} rows={} unreadable={} first_unreadable={}",
         action.table,
         action.rows.size,
-        unreadable,
+        unreadable.size,
+        unreadable.take(MAX_LOGGED_ROWS),
     )
 
     fun peerStatus(action: PeersAction.PeerStatusChanged) = log.info(
@@ -189,6 +190,7 @@
 
     private companion object {
         const val MAX_LOGGED_PARTS = 8
+        const val MAX_LOGGED_ROWS = 4
         val log = LoggerFactory.getLogger(DecisionLog::class.java)
     }
 }
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/http/UpstreamClientTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/http/UpstreamClientTest.kt
@@ -36,6 +36,14 @@
     override fun dataTestName(): String = name
 }
 
+private data class AddressCase(
+    val name: String,
+    val host: String = "127.0.0.1",
+    val port: Int = 9,
+) : WithDataTestName {
+    override fun dataTestName(): String = name
+}
+
 private const val TIMEOUT_SECONDS = 20L
 private const val FAR_TOO_LONG_BYTES = 4 * 1024 * 1024
 private const val SIGNED = "X-Id: r1\r\nX-Signed: yes\r\n"
@@ -209,6 +217,19 @@
             }
         }
 
+        // Guards against a call that waits for its timeout since its request can't be made.
+        context("an address that can't be used is reported as unsent") {
+            withData(
+                AddressCase("a port that is too large", port = 70_000),
+                AddressCase("a negative port", port = -1),
+                AddressCase("no host", host = ""),
+                AddressCase("a host with a space", host = "a b"),
+            ) { case ->
+                val entry = Samples.entry("u").copy(host = case.host, port = case.port)
+                reports(entry, RetryRule.AtMostOnce) shouldBe listOf("unsent")
+            }
+        }
+
         context("the report of an engine") {
             withData(
                 IdentityCase("its models", completeAnswer("200 OK", "m:large"), setOf("large")),
