Follow a table of several parts from the version of its first part

Cause: each part of a table is as of a moment of its own, and the version of the last one was taken for that of all. A change to a row of an earlier part that comes between two parts is older than that, so the feed doesn't bring it.

Change: a read of several parts is followed from the version of the first, at once. Related paths: the read after lost history is the same code; a peer's copy that came between two parts could be replaced by older rows, and makes the node read the table again now.

--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/discovery/DiscoveryFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/discovery/DiscoveryFilter.kt
@@ -51,7 +51,7 @@
             is TableReply.Page -> page(state, table, markRecovered(feed, now), reply, now)
             is TableReply.Changes -> changed(state, table, markRecovered(feed, now), reply, now)
             TableReply.HistoryLost -> Step(
-                state.with(table, markRecovered(feed, now).copy(partialRows = persistentMapOf())),
+                state.with(table, markRecovered(feed, now).copy(partialRead = null)),
                 persistentListOf(read(table, from = null)),
             )
         }.let { step ->
@@ -110,7 +110,7 @@
         val delay = minOf(FIRST_RETRY_DELAY * (feed.failures + 1), MAX_RETRY_DELAY)
         val version = feed.version
         val next = when {
-            version != null && feed.partialRows.isEmpty() ->
+            version != null && feed.partialRead == null ->
                 DiscoveryAction.Follow(table, version, delay)
             else -> DiscoveryAction.Read(table, from = null, delay)
         }
@@ -118,7 +118,7 @@
         return Step(
             state.with(
                 table,
-                feed.copy(failures = feed.failures + 1, partialRows = persistentMapOf()),
+                feed.copy(failures = feed.failures + 1, partialRead = null),
             ),
             if (feed.isFailing) persistentListOf(next) else persistentListOf(next, lost),
         )
@@ -136,15 +136,28 @@
         page: TableReply.Page,
         now: Duration,
     ): Step<DiscoveryState, DiscoveryAction> {
-        val read = feed.partialRows.putAll(page.rows.associateBy { it.key })
-        if (page.next != null) {
-            return Step(
-                state.with(table, feed.copy(partialRows = read)),
-                persistentListOf(read(table, page.next)),
+        val before = feed.partialRead ?: PartialRead(persistentMapOf(), page.version)
+        val read = before.copy(rows = before.rows.putAll(page.rows.associateBy { it.key }))
+        val nextKey = page.next
+        val hasNewerCopy = feed.partialRead != null && read.version < (feed.version ?: -1)
+        return when {
+            nextKey != null -> Step(
+                state.with(table, feed.copy(partialRead = read)),
+                persistentListOf(read(table, nextKey)),
             )
+            // A peer's copy, which arrived between two pages, has changes that these rows lack.
+            hasNewerCopy -> Step(
+                state.with(table, feed.copy(partialRead = null)),
+                persistentListOf(read(table, from = null)),
+            )
+            else -> {
+                val whole = feed.copy(rows = read.rows, partialRead = null, version = read.version)
+                when (feed.partialRead) {
+                    null -> publish(state, table, feed, whole, now)
+                    else -> publish(state, table, feed, whole, now, delay = Duration.ZERO)
+                }
+            }
         }
-        val whole = feed.copy(rows = read, partialRows = persistentMapOf(), version = page.version)
-        return publish(state, table, feed, whole, now)
     }
 
     private fun changed(
@@ -174,6 +187,7 @@
         before: TableFeed,
         after: TableFeed,
         now: Duration,
+        delay: Duration = followDelay(table, state.peers),
     ): Step<DiscoveryState, DiscoveryAction> {
         val recoveredAt = after.recoveredAt
         val isRetaining = recoveredAt != null && now - recoveredAt < ROW_RETENTION
@@ -191,7 +205,7 @@
             state.with(table, next),
             persistentListOf(
                 DiscoveryAction.Publish(table, visible(next)),
-                DiscoveryAction.Follow(table, after.version ?: 0, followDelay(table, state.peers)),
+                DiscoveryAction.Follow(table, after.version ?: 0, delay),
             ),
         )
     }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/discovery/TableFeed.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/discovery/TableFeed.kt
@@ -9,7 +9,7 @@
  *
  * @property rows the rows as of [version], by key.
  * @property version the version of the last known change; null before the first complete read.
- * @property partialRows the rows read so far while further pages of the table are missing.
+ * @property partialRead what has been read so far while pages are missing; null if none are.
  * @property failures the number of calls that have failed since the last answer.
  * @property recoveredAt when the store last answered after a failure; null if it never did.
  * @property peerAskedAt when a peer was last asked for its copy; null if none was.
@@ -18,7 +18,7 @@
 public data class TableFeed(
     val rows: PersistentMap<String, StoreRow> = persistentMapOf(),
     val version: Long? = null,
-    val partialRows: PersistentMap<String, StoreRow> = persistentMapOf(),
+    val partialRead: PartialRead? = null,
     val failures: Int = 0,
     val recoveredAt: Duration? = null,
     val peerAskedAt: Duration? = null,
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/discovery/DiscoveryFilterTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/discovery/DiscoveryFilterTest.kt
@@ -22,8 +22,8 @@
 
 private fun row(key: String) = StoreRow(key, Body.of("{}"), 1)
 
-private fun page(vararg keys: String, next: String? = null) =
-    TableReply.Page(keys.map(::row).toPersistentList(), 7, next)
+private fun page(vararg keys: String, next: String? = null, version: Long = 7) =
+    TableReply.Page(keys.map(::row).toPersistentList(), version, next)
 
 private fun removed(key: String, version: Long = 9) =
     TableReply.Changes(listOf(StoreRow(key, null, version)).toPersistentList(), version)
@@ -91,6 +91,25 @@
                     last = replied(page("b")),
                     actions = listOf("publish ab", "follow 7"),
                 ),
+                // Guards against a change between two pages of a table that is missed (DRAIN).
+                DiscoveryCase(
+                    "a table of several pages is followed from the version of the first",
+                    listOf(page("a", next = "a0"), page("b", next = "b0", version = 8)),
+                    last = replied(page("c", version = 9)),
+                    actions = listOf("publish abc", "follow 7"),
+                ),
+                DiscoveryCase(
+                    "also when it is read again after its history was lost",
+                    listOf(page("a"), TableReply.HistoryLost, page("a", next = "a0", version = 20)),
+                    last = replied(page("b", version = 22)),
+                    actions = listOf("publish ab", "follow 20"),
+                ),
+                DiscoveryCase(
+                    "pages from before a failed call are not followed",
+                    listOf(page("a", next = "a0"), TableReply.Failed("503")),
+                    last = replied(page("b", version = 9)),
+                    actions = listOf("publish b", "follow 9", "back"),
+                ),
                 DiscoveryCase(
                     "a change is published",
                     listOf(page("a", "b")),
@@ -112,6 +131,28 @@
             ) { check(it) }
         }
 
+        test("a table is read again if a peer's copy is newer than its first page") {
+            val filter = DiscoveryFilter()
+            val copy = DiscoveryEvent.PeerTable(StoreTable.UPSTREAMS, page("b", version = 8))
+            val events = listOf(replied(page("a", next = "a0")), copy)
+            val state = events.fold(DiscoveryState()) { state, event ->
+                filter.step(state, event, 1.seconds).state
+            }
+            filter.step(state, replied(page("b", version = 9)), 1.seconds).actions
+                .map(::describe) shouldBe listOf("read from null")
+        }
+
+        test("a table of several pages is followed without a delay") {
+            val filter = DiscoveryFilter()
+            val events = listOf(DiscoveryEvent.PeerCountChanged(330), replied(page("a", next = "b")))
+            val state = events.fold(DiscoveryState()) { state, event ->
+                filter.step(state, event, 1.seconds).state
+            }
+            filter.step(state, replied(page("b")), 1.seconds).actions
+                .filterIsInstance<DiscoveryAction.Follow>().map { it.delay } shouldBe
+                listOf(0.milliseconds)
+        }
+
         context("a node that can't read the store") {
             val storeFailed = listOf(page("a"), TableReply.Failed("503"))
             val newerVersion = DiscoveryEvent.PeerVersion(
