Report a write to a caller that fails as the caller's close

Cause: if a write fails before the watch has seen the close, the failure ends the request for Jetty and with it the watch, and nobody was told. Placement kept the call, the relay asked its engine for nothing more, the engine looked stalled, and the stream went to the next one.

Change: a failed write is reported like a close. answer_cut is logged for the calls that the end of a stop cuts only; other cuts have their line already.

Tests: CallerExchangeTest, "a caller that leaves in mid-stream is reported by the write that fails" (it needs the new callback, so it doesn't compile on the code before).

--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/http/CallerExchange.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/http/CallerExchange.kt
@@ -33,6 +33,12 @@
     /** Tells whether the caller has closed its connection; null if that can't be told. */
     @Volatile var watch: CloseWatch.Watch? = null
 
+    /**
+     * Called if a write fails, which tells that the caller has gone. The failure ends the request
+     * for Jetty, and with it the watch, which may not have seen the close by then.
+     */
+    @Volatile var onCallerGone: () -> Unit = {}
+
     private val knowsChunks = request.connectionMetaData.httpVersion >= HttpVersion.HTTP_1_1
     private val lock = ReentrantLock()
     private var isOpen = false
@@ -130,7 +136,9 @@
     }
 
     private fun onWriteFailed(cause: Throwable) {
-        if (end()) callback.failed(cause)
+        if (!end()) return
+        onCallerGone()
+        callback.failed(cause)
     }
 
     /** Marks the answer as ended; returns false if it was so already. */
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/http/CallerHandler.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/http/CallerHandler.kt
@@ -73,10 +73,10 @@
 
     private fun submit(request: Request, exchange: CallerExchange, event: EntryEvent.Received) {
         exchanges.add(event.key, exchange)
-        val watch = CloseWatch.prepare(request) {
-            if (exchanges.isOpen(event.key)) onCallerGone(event.key)
-        }
+        val reportGone = { if (exchanges.isOpen(event.key)) onCallerGone(event.key) }
+        val watch = CloseWatch.prepare(request, onClose = reportGone)
         exchange.watch = watch
+        exchange.onCallerGone = reportGone
         // The watch begins after the offer, so that the close follows the request into the ring.
         if (offerRequest(event)) {
             watch?.begin()
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/http/OpenExchanges.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/http/OpenExchanges.kt
@@ -74,13 +74,14 @@
 
     /** Aborts the answer to the call with [key] by closing the caller's connection. */
     public fun abort(key: CallKey, why: String) {
-        val exchange = exchanges.remove(key) ?: return
-        log.info("event=answer_cut call={} why=\"{}\"", key.number, why)
-        exchange.abort(why)
+        exchanges.remove(key)?.abort(why)
     }
 
     /** Aborts all open answers, for example because the node stops. */
-    public fun abortAll(why: String): Unit = exchanges.keys.forEach { abort(it, why) }
+    public fun abortAll(why: String): Unit = exchanges.keys.forEach { key ->
+        log.info("event=answer_cut call={} why=\"{}\"", key.number, why)
+        abort(key, why)
+    }
 
     private companion object {
         val log = LoggerFactory.getLogger(OpenExchanges::class.java)
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/http/CallerExchangeTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/http/CallerExchangeTest.kt
@@ -4,9 +4,11 @@
 import io.kotest.datatest.withData
 import io.kotest.engine.names.WithDataTestName
 import io.kotest.matchers.shouldBe
+import java.net.Socket
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
+import kotlin.concurrent.thread
 import kotlin.time.Duration.Companion.seconds
 import org.bilberrycart.gateway.model.Body
 import org.eclipse.jetty.client.BufferingResponseListener
@@ -43,6 +45,7 @@
 }
 
 private const val TIMEOUT_SECONDS = 20L
+private const val WRITE_INTERVAL_MILLIS = 5L
 
 private val open =
     { exchange: CallerExchange -> Unit.also { exchange.openStream(200, emptyList()) } }
@@ -106,6 +109,28 @@
             ExchangeCase("a stream after an answer", listOf(refuse, open), "503 refused"),
         )
 
+        // Guards against a stream that goes on at engine after engine for a caller that left (GONE).
+        context("a caller that leaves in mid-stream is reported by the write that fails") {
+            withData(nameFn = { if (it) "by a reset" else "by a close" }, true, false) { isReset ->
+                val gone = CountDownLatch(1)
+                val first = CountDownLatch(1)
+                val leave: (CallerExchange) -> Unit = { exchange ->
+                    exchange.onCallerGone = gone::countDown
+                    exchange.openStream(200, emptyList())
+                    writeUntil(exchange, gone, onWritten = first::countDown)
+                }
+                val server = serve(listOf(leave), ConnectionCase("kept"))
+                val port = (server.connectors.single() as ServerConnector).localPort
+                Socket("127.0.0.1", port).use { socket ->
+                    socket.getOutputStream().write("GET / HTTP/1.1\r\nHost: h\r\n\r\n".toByteArray())
+                    first.await(TIMEOUT_SECONDS, TimeUnit.SECONDS) shouldBe true
+                    socket.setSoLinger(isReset, 0)
+                }
+                gone.await(TIMEOUT_SECONDS, TimeUnit.SECONDS) shouldBe true
+                server.stop()
+            }
+        }
+
         // Guards against a broken stream that looks complete since its connection closes (ORDER).
         withData(
             ConnectionCase("a connection that is kept"),
@@ -124,3 +149,12 @@
             }
         }
     })
+
+/** Writes to [exchange] again and again until [gone] is counted down. */
+private fun writeUntil(exchange: CallerExchange, gone: CountDownLatch, onWritten: () -> Unit) {
+    thread(isDaemon = true) {
+        while (!gone.await(WRITE_INTERVAL_MILLIS, TimeUnit.MILLISECONDS)) {
+            exchange.write(Body.of("part "), onWritten)
+        }
+    }
+}
