--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/entry/EntryFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/entry/EntryFilter.kt
@@ -84,19 +84,17 @@
         route: RouteRule,
         service: ServiceConfig,
         organisation: String?,
-    ): RoutedCall {
-        return RoutedCall(
-            key = event.key,
-            head = event.head,
-            body = event.body,
-            route = route,
-            service = service,
-            organisation = organisation,
-            arrivedAt = event.arrivedAt,
-            deadline = deadline(event, route),
-            callerDeadline = callerDeadline(event, route),
-        )
-    }
+    ): RoutedCall = RoutedCall(
+        key = event.key,
+        head = event.head,
+        body = event.body,
+        route = route,
+        service = service,
+        organisation = organisation,
+        arrivedAt = event.arrivedAt,
+        deadline = deadline(event, route),
+        callerDeadline = callerDeadline(event, route),
+    )
 
     private fun callerDeadline(event: EntryEvent.Received, route: RouteRule): Duration =
         event.arrivedAt + (event.head.timeLeft ?: route.timeout)
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/http/AnswerLimits.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/http/AnswerLimits.kt
@@ -1,6 +1,7 @@
 package org.bilberrycart.gateway.http
 
-private const val MEBIBYTE = 1024 * 1024
+private const val MAX_ANSWER_BYTES = 8 * 1024 * 1024
+private const val MAX_TOTAL_BYTES = 24L * 1024 * 1024
 
 /**
  * Bounds the memory that upstreams can take which send bodies without end.
@@ -10,6 +11,6 @@
  *   longest one is cancelled.
  */
 internal data class AnswerLimits(
-    val answerBytes: Int = 8 * MEBIBYTE,
-    val totalBytes: Long = 24L * MEBIBYTE,
+    val answerBytes: Int = MAX_ANSWER_BYTES,
+    val totalBytes: Long = MAX_TOTAL_BYTES,
 )
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/lifecycle/LifecycleAction.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/lifecycle/LifecycleAction.kt
@@ -16,7 +16,7 @@
     /** Accepts no new connections or requests, and closes the connections that are idle. */
     public data object StopAccepting : LifecycleAction()
 
-    /** Ends the [openCalls] that are still open: aborts streams, answers the others with an error. */
+    /** Ends the [openCalls] that are still open: aborts streams, answers others with an error. */
     public data class BreakOff(val openCalls: Int) : LifecycleAction()
 
     /** Ends the process; [openCalls] were still open. */
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/discovery/DiscoveryFilterTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/discovery/DiscoveryFilterTest.kt
@@ -144,7 +144,8 @@
 
         test("a table of several pages is followed without a delay") {
             val filter = DiscoveryFilter()
-            val events = listOf(DiscoveryEvent.PeerCountChanged(330), replied(page("a", next = "b")))
+            val events =
+                listOf(DiscoveryEvent.PeerCountChanged(330), replied(page("a", next = "b")))
             val state = events.fold(DiscoveryState()) { state, event ->
                 filter.step(state, event, 1.seconds).state
             }
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/http/AnswerLimitsTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/http/AnswerLimitsTest.kt
@@ -107,8 +107,9 @@
                     relay = {},
                     limits = limits,
                 )
-                val upstreams = case.unfinished.map { BodyUpstream(sent = it, announced = it + 1) } +
-                    BodyUpstream(case.complete, case.complete)
+                val upstreams =
+                    case.unfinished.map { BodyUpstream(sent = it, announced = it + 1) } +
+                        BodyUpstream(case.complete, case.complete)
                 upstreams.forEachIndexed { number, upstream ->
                     client.send(order(number.toLong(), upstream.entry), lastEvent = null)
                     Thread.sleep(SETTLE_MILLIS)
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/http/CallerExchangeTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/http/CallerExchangeTest.kt
@@ -64,25 +64,23 @@
         val client = HttpClients.start("caller", 5.seconds)
         afterSpec { client.stop() }
 
-        fun serve(
-            steps: List<(CallerExchange) -> Unit>,
-            connection: ConnectionCase,
-        ): Server = Server().apply {
-            addConnector(ServerConnector(this))
-            handler = object : Handler.Abstract() {
-                override fun handle(request: Request, response: Response, callback: Callback) =
-                    true.also {
-                        val exchange = CallerExchange(
-                            request,
-                            response,
-                            callback,
-                            shouldClose = { connection.nodeCloses },
-                        )
-                        steps.forEach { it(exchange) }
-                    }
+        fun serve(steps: List<(CallerExchange) -> Unit>, connection: ConnectionCase): Server =
+            Server().apply {
+                addConnector(ServerConnector(this))
+                handler = object : Handler.Abstract() {
+                    override fun handle(request: Request, response: Response, callback: Callback) =
+                        true.also {
+                            val exchange = CallerExchange(
+                                request,
+                                response,
+                                callback,
+                                shouldClose = { connection.nodeCloses },
+                            )
+                            steps.forEach { it(exchange) }
+                        }
+                }
+                start()
             }
-            start()
-        }
 
         fun outcome(server: Server, connection: ConnectionCase): String {
             val seen = CompletableFuture<String>()
@@ -109,7 +107,7 @@
             ExchangeCase("a stream after an answer", listOf(refuse, open), "503 refused"),
         )
 
-        // Guards against a stream that goes on at engine after engine for a caller that left (GONE).
+        // Guards against a stream that goes on at further engines for a caller that left (GONE).
         context("a caller that leaves in mid-stream is reported by the write that fails") {
             withData(nameFn = { if (it) "by a reset" else "by a close" }, true, false) { isReset ->
                 val gone = CountDownLatch(1)
@@ -122,7 +120,9 @@
                 val server = serve(listOf(leave), ConnectionCase("kept"))
                 val port = (server.connectors.single() as ServerConnector).localPort
                 Socket("127.0.0.1", port).use { socket ->
-                    socket.getOutputStream().write("GET / HTTP/1.1\r\nHost: h\r\n\r\n".toByteArray())
+                    socket.getOutputStream().write(
+                        "GET / HTTP/1.1\r\nHost: h\r\n\r\n".toByteArray(),
+                    )
                     first.await(TIMEOUT_SECONDS, TimeUnit.SECONDS) shouldBe true
                     socket.setSoLinger(isReset, 0)
                 }
@@ -136,7 +136,11 @@
             ConnectionCase("a connection that is kept"),
             ConnectionCase("a node that closes", nodeCloses = true),
             ConnectionCase("a caller that closes", callerCloses = true),
-            ConnectionCase("a caller and a node that close", callerCloses = true, nodeCloses = true),
+            ConnectionCase(
+                "a caller and a node that close",
+                callerCloses = true,
+                nodeCloses = true,
+            ),
             ConnectionCase("a caller of HTTP/1.0", HttpVersion.HTTP_1_0),
         ) { connection ->
             withData(exchanges) { case ->
