Send nothing new to an upstream that says it leaves or wants a pause

An upstream that leaves says so in all its answers (Server-Leaving), and a 503 may name for how long it wants nothing from this machine (Retry-After). The code read neither: an upstream that leaves got calls until its entry in the store changed.

Change: UpstreamClient reports what the head of any answer states, also of a stream, an error, a probe or an attempt that nobody waits for. Placement keeps it with the upstream, and each send asks for it in one place (UpstreamView.isUp): calls, streams, resumes, hedges, backups; probes wait as well. If all upstreams of a service are paused for too long, a call is refused at once as not run, with the time of the first to come back, spread.

The texts of a refused call say "paused or at their rate limits".

--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/http/UpstreamClient.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/http/UpstreamClient.kt
@@ -24,6 +24,7 @@
 import org.eclipse.jetty.client.BytesRequestContent
 import org.eclipse.jetty.client.HttpClient
 import org.eclipse.jetty.client.Request
+import org.eclipse.jetty.client.Response
 import org.eclipse.jetty.client.Result
 import org.eclipse.jetty.http.HttpStatus
 import org.eclipse.jetty.io.Connection
@@ -97,6 +98,7 @@
             .timeout(timeout.inWholeMilliseconds, TimeUnit.MILLISECONDS)
             .send(object : WholeAnswerListener(MAX_REPORT_BYTES) {
                 override fun onComplete(result: Result) {
+                    if (result.isSucceeded) reportStatements(upstream, headOf(result.response))
                     val cause = result.failure?.summary() ?: contentAsString.orEmpty()
                     placement(PlacementEvent.Probed(upstream.id, result.isSucceeded, cause))
                 }
@@ -112,6 +114,7 @@
             .timeout(timeout.inWholeMilliseconds, TimeUnit.MILLISECONDS)
             .send(object : WholeAnswerListener(MAX_REPORT_BYTES) {
                 override fun onComplete(result: Result) {
+                    if (result.isSucceeded) reportStatements(upstream, headOf(result.response))
                     val isReport = result.isSucceeded && result.response.status == HttpStatus.OK_200
                     onReport(
                         content?.takeIf { isReport }?.let { protocol.readEngineReport(Body(it)) },
@@ -120,6 +123,21 @@
             })
     }
 
+    private fun headOf(response: Response): AnswerHead = protocol.readAnswerHead(
+        response.status,
+        response.headers.map { Header(it.name, it.value.orEmpty()) },
+    )
+
+    /** Reports what [answer] states of [upstream], unless another upstream answered. */
+    private fun reportStatements(upstream: UpstreamEntry, answer: AnswerHead) {
+        val isFromOther =
+            answer.isMisdirected || answer.upstream.let { it != null && it != upstream.id }
+        if (isFromOther || !answer.isLeaving && answer.retryAfter == null) return
+        placement(
+            PlacementEvent.UpstreamStated(upstream.id, answer.isLeaving, answer.retryAfter),
+        )
+    }
+
     private fun newRequest(upstream: UpstreamEntry): Request =
         client.newRequest(upstream.host, upstream.port).onRequestCommit { it.noteProgress() }
 
@@ -152,10 +170,7 @@
 
         fun start() {
             request.onRequestBegin { hasBegun = true }
-                .onResponseHeaders { response ->
-                    val fields = response.headers.map { Header(it.name, it.value.orEmpty()) }
-                    onHead(protocol.readAnswerHead(response.status, fields))
-                }
+                .onResponseHeaders { onHead(headOf(it)) }
                 .onResponseContentAsync { _, chunk, next -> onChunk(chunk.byteBuffer, next) }
             if (order.needsNewConnection) sendOnNewConnection() else request.send(::onFinished)
         }
@@ -192,6 +207,7 @@
 
         private fun onHead(answer: AnswerHead) {
             head = answer
+            reportStatements(order.upstream, answer)
             if (answer.didNotRun) logRejection(answer)
             isStream = order.call.route.retryRule is RetryRule.Stream &&
                 answer.isSuccess &&
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/model/UpstreamAnswer.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/model/UpstreamAnswer.kt
@@ -1,5 +1,6 @@
 package org.bilberrycart.gateway.model
 
+import kotlin.time.Duration
 import kotlinx.collections.immutable.PersistentList
 
 /** A complete answer of an upstream to a call that is not a stream. */
@@ -15,6 +16,8 @@
  * @property endsWithConnection whether the body has no length and no chunks, so that the end of
  *   the connection is its end.
  * @property upstream the id of the upstream that answered, if it is stated.
+ * @property isLeaving whether the upstream states that it is about to leave.
+ * @property retryAfter for how long the upstream wants no requests from this node, if it states so.
  * @property rateLimit the requests a second that the upstream takes from all nodes together, if it
  *   names a limit.
  */
@@ -28,6 +31,8 @@
     val endsWithConnection: Boolean = false,
     val upstream: UpstreamId? = null,
     val rateLimit: Double? = null,
+    val isLeaving: Boolean = false,
+    val retryAfter: Duration? = null,
 ) {
     /** Whether the status is in the 2xx range. */
     val isSuccess: Boolean
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/CallPlacement.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/CallPlacement.kt
@@ -99,8 +99,8 @@
     }
 
     /**
-     * Keeps [call] waiting for an upstream, or rejects it at once if the rate limits of all of them
-     * will not let it be sent in time.
+     * Keeps [call] waiting for an upstream, or rejects it at once if the rate limits or pauses of
+     * all of them will not let it be sent in time.
      */
     private fun awaitUpstream(
         state: PlacementState,
@@ -112,12 +112,13 @@
         val quotaWait = selector.quotaWait(ahead = callsBefore(state, call)) ?: return Step(state)
         val latest = call.call.arrivedAt + call.call.route.objective * settings.waitShare
         if (call.isStreamOpen || now + quotaWait <= latest) return Step(state)
+        val retryAfter = selector.spread(quotaWait.coerceIn(MIN_RETRY_AFTER, MAX_RETRY_AFTER))
         return CallCompletion.fail(
-            state,
+            state.copy(seed = selector.nextSeed),
             call,
-            "all upstreams are at their rate limits, $why",
+            "all upstreams are paused or at their rate limits, $why",
             now,
-            retryAfter = quotaWait.coerceIn(MIN_RETRY_AFTER, MAX_RETRY_AFTER),
+            retryAfter,
         )
     }
 
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/LeastLoadedSelector.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/LeastLoadedSelector.kt
@@ -25,21 +25,32 @@
     val usable: List<UpstreamView> = available.filter { state.quotaWait(it, now) == ZERO }
 
     /**
-     * Returns how long the rate limits of all upstreams delay a call, if this node has [ahead]
-     * others to send before it; null if the service has no upstream. One that is down for a moment
-     * counts too.
+     * Returns how long the rate limits and pauses of all upstreams delay a call, if this node has
+     * [ahead] others to send before it; null if the service has no upstream. One that is down for a
+     * moment counts too.
      */
     fun quotaWait(ahead: Int): Duration? {
         val known = state.upstreams.values.filter {
-            it.entry.service == service && !it.entry.isLeaving && !it.isReplaced
+            it.entry.service == service && !it.isLeaving && !it.isReplaced
         }
-        val first = known.minOfOrNull { state.quotaWait(it, now) } ?: return null
+        val first = known.minOfOrNull { maxOf(state.quotaWait(it, now), it.pauseLeft(now)) }
+            ?: return null
         val rate = known.sumOf { view ->
             view.rateLimit?.let { state.quota(view, it.perSecond).perSecond } ?: 0.0
         }
-        return if (ahead == 0 || first == ZERO) first else first + (ahead / rate).seconds
+        return if (ahead == 0 ||
+            first == ZERO ||
+            rate == 0.0
+        ) {
+            first
+        } else {
+            first + (ahead / rate).seconds
+        }
     }
 
+    /** Returns a time between [wait] and somewhat more, so that callers return one by one. */
+    fun spread(wait: Duration): Duration = wait * (1 + random.nextDouble() * RETURN_SPREAD)
+
     /** The seed for the next selector; changes with each read. */
     val nextSeed: Long
         get() = random.nextLong()
@@ -93,6 +104,7 @@
 
         /** Smaller differences of load are decided at random, so that nodes do not herd. */
         const val TIE_BREAK_SPREAD = 0.5
+        const val RETURN_SPREAD = 0.25
         val RECENT_FAILURE_PERIOD = 1.seconds
         val ZERO = Duration.ZERO
     }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementEvent.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementEvent.kt
@@ -81,6 +81,16 @@
         val startedAtMillis: Long?,
     ) : PlacementEvent()
 
+    /**
+     * [upstream] stated in the head of an answer that it [isLeaving], or that it wants no requests
+     * of this node for the time [pause].
+     */
+    public data class UpstreamStated(
+        val upstream: UpstreamId,
+        val isLeaving: Boolean,
+        val pause: Duration? = null,
+    ) : PlacementEvent()
+
     /** The node stops, so that no call can go on. */
     public data object NodeStops : PlacementEvent()
 
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementFilter.kt
@@ -48,6 +48,7 @@
                 withPeerLoads(withPeerReport(state, event), event, now),
             ).then { PartChecks.reported(it, event.partReports, now) }
                 .then { PartChecks.failUnbegun(state.parts, it, now) }
+        is PlacementEvent.UpstreamStated -> UpstreamStatements.stated(state, event, now)
         PlacementEvent.NodeStops -> endAll(state, now)
         PlacementEvent.Tick ->
             UpstreamRegistry.removeExpired(state, now).then { timeoutChecks.check(it, now) }
@@ -57,10 +58,9 @@
     private fun endAll(
         state: PlacementState,
         now: Duration,
-    ): Step<PlacementState, PlacementAction> =
-        state.calls.values.fold(Step(state)) { step, call ->
-            step.then { CallCompletion.fail(it, call, "the node stops", now) }
-        }
+    ): Step<PlacementState, PlacementAction> = state.calls.values.fold(Step(state)) { step, call ->
+        step.then { CallCompletion.fail(it, call, "the node stops", now) }
+    }
 
     private fun answered(
         state: PlacementState,
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementState.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementState.kt
@@ -15,6 +15,7 @@
  *
  * @property crashes upstreams that crashed before they answered a call, by the call's content.
  * @property parts what is known of prompt parts that crash upstreams.
+ * @property leaving the incarnations that stated that they leave, the latest last.
  * @property departed ids of removed upstreams, the latest last.
  * @property share the upstreams that this node prefers.
  * @property nodeCount the most nodes known at a time; null before any gossip was received.
@@ -27,6 +28,7 @@
     val budgets: PersistentMap<ServiceName, RetryBudget> = persistentMapOf(),
     val crashes: CrashHistory = CrashHistory(),
     val parts: PartHistory = PartHistory(),
+    val leaving: PersistentList<Incarnation> = persistentListOf(),
     val departed: PersistentList<UpstreamId> = persistentListOf(),
     val share: NodeShare = NodeShare(),
     val nodeCount: Int? = null,
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/TimeoutChecks.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/TimeoutChecks.kt
@@ -126,7 +126,7 @@
         now: Duration,
     ): Step<PlacementState, PlacementAction> {
         val isRecent = view.lastProbedAt?.let { now - it < settings.probeInterval } == true
-        if (view.probeSentAt != null || isRecent) return Step(state)
+        if (view.probeSentAt != null || isRecent || view.isPaused(now)) return Step(state)
         return Step(
             state.with(view.copy(probeSentAt = now, lastProbedAt = now)),
             persistentListOf(PlacementAction.Probe(view.entry, silence.inWholeMilliseconds)),
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/UpstreamRegistry.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/UpstreamRegistry.kt
@@ -81,7 +81,7 @@
         val known = state.upstreams[entry.id]
         return when {
             known == null || known.entry.startedAtMillis != entry.startedAtMillis ->
-                state.with(restartedView(entry, known, state.share))
+                state.with(restartedView(state, entry, known))
             known.isAdopted || known.entry != entry ->
                 state.with(known.copy(entry = entry, isAdopted = false, missingSince = null))
             else -> state
@@ -89,14 +89,15 @@
     }
 
     private fun restartedView(
+        state: PlacementState,
         entry: UpstreamEntry,
         known: UpstreamView?,
-        share: NodeShare,
     ): UpstreamView = UpstreamView(
         entry,
         running = known?.running ?: 0,
         backups = known?.backups ?: 0,
-        rank = share.rank(entry.id),
+        rank = state.share.rank(entry.id),
+        saysLeaving = Incarnation.of(entry) in state.leaving,
     )
 
     private fun removeUpstreams(state: PlacementState, gone: List<UpstreamView>): PlacementState {
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/UpstreamView.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/UpstreamView.kt
@@ -19,6 +19,8 @@
  * @property isAdopted whether it was found at another's address and is not yet in the registry.
  * @property missingSince since when registry listings lack it, if it is adopted.
  * @property isReplaced whether another upstream answered at its address.
+ * @property saysLeaving whether its own answers state that it leaves, whatever the registry says.
+ * @property pausedUntil until when it wants no requests of this node; null if it never said so.
  * @property rateLimit the rate limit that it named in its last answer; null if it named none.
  * @property probeSentAt when the pending probe was sent; null without one.
  * @property lastProbedAt when the last probe was sent.
@@ -37,6 +39,8 @@
     val isAdopted: Boolean = false,
     val missingSince: Duration? = null,
     val isReplaced: Boolean = false,
+    val saysLeaving: Boolean = false,
+    val pausedUntil: Duration? = null,
     val rateLimit: RateLimit? = null,
     val probeSentAt: Duration? = null,
     val lastProbedAt: Duration? = null,
@@ -45,6 +49,10 @@
     public val isPreferred: Boolean
         get() = rank == 0
 
+    /** Whether it takes no new calls for good, by the registry or by its own answers. */
+    public val isLeaving: Boolean
+        get() = entry.isLeaving || saysLeaving
+
     /** Whether no attempt or backup of this node is there. */
     public val isUnused: Boolean
         get() = running == 0 && backups == 0
@@ -54,7 +62,14 @@
 
     /** Whether it may resume a generation from its KV cache copy, even during a probe. */
     public fun isUp(now: Duration): Boolean =
-        !entry.isLeaving && !isReplaced && (downUntil == null || downUntil <= now)
+        !isLeaving && !isReplaced && (downUntil == null || downUntil <= now) && !isPaused(now)
+
+    /** Whether it wants no requests of this node at [now]. */
+    public fun isPaused(now: Duration): Boolean = pauseLeft(now) > Duration.ZERO
+
+    /** Returns for how long it wants no requests of this node from [now] on. */
+    public fun pauseLeft(now: Duration): Duration =
+        pausedUntil?.let { maxOf(it - now, Duration.ZERO) } ?: Duration.ZERO
 
     /** Returns [failureWeight] after its decay until [now]. */
     public fun failureWeightAt(now: Duration): Double = failureWeight *
