Measure the nesting of JSON in one place

BoundedJson, new today, counted levels with a scan of its own, while the library has NestingDepth for settings files. It also knows comments, which the JSON parser of the platform rejects at their first character, so that nothing deeper is parsed behind them.

No behaviour changes.

--- a/library/src/main/kotlin/org/bilberrycart/settings/NestingDepth.kt
+++ b/library/src/main/kotlin/org/bilberrycart/settings/NestingDepth.kt
@@ -1,16 +1,16 @@
 package org.bilberrycart.settings
 
 /**
- * Limits the nesting of JSON with comments before it is parsed.
+ * Limits the nesting of JSON, with comments or without, before it is parsed.
  *
  * The parser recurses once per level, so that a text nested without limit would exhaust the stack.
  */
-internal object NestingDepth {
+public object NestingDepth {
     /** The lexical context of the next character; SLASH and STAR follow that character. */
     private enum class ScanState { VALUE, STRING, ESCAPE, SLASH, LINE_COMMENT, BLOCK_COMMENT, STAR }
 
     /** Returns whether the objects and arrays in [text] are nested at most [limit] levels deep. */
-    fun isWithin(text: String, limit: Int): Boolean {
+    public fun isWithin(text: String, limit: Int): Boolean {
         var state = ScanState.VALUE
         var depth = 0
         for (char in text) {
