Close a connection on which the answer to another call arrived

What callers would see: after one late copy of an answer, several calls in a row fail, with 502 where they may not be repeated, though their upstream answered each.

Cause: an answer with another call's id was kept to its end and the connection went back to the pool, while the answer to the call that was sent on it was still to come. That one met the next call, and so on.

Change: as soon as the head with another id is read, the attempt is reported as answered for another call, as before, and the connection is closed.

--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/http/UpstreamClient.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/http/UpstreamClient.kt
@@ -163,6 +163,9 @@
 
         @Volatile private var isStream = false
 
+        /** Whether the answer to another call arrived, which has been reported. */
+        @Volatile private var isDisplaced = false
+
         @Volatile private var isCancelled = false
 
         /** The connection that serves this attempt only; null if one is taken from the pool. */
@@ -209,6 +212,10 @@
             head = answer
             reportStatements(order.upstream, answer)
             if (answer.didNotRun) logRejection(answer)
+            if (answer.requestId != null && answer.requestId != order.call.head.requestId) {
+                reportDisplaced(answer)
+                return
+            }
             isStream = order.call.route.retryRule is RetryRule.Stream &&
                 answer.isSuccess &&
                 answer.isSigned &&
@@ -216,6 +223,16 @@
             if (isStream) relay(RelayEvent.Opened(attempt, answer))
         }
 
+        /**
+         * Reports an answer to another call and closes the connection, on which the answer to this
+         * call may still arrive and would reach the next one.
+         */
+        private fun reportDisplaced(answer: AnswerHead) {
+            isDisplaced = true
+            placement(PlacementEvent.Answered(attempt, UpstreamAnswer(answer, Body.EMPTY)))
+            cancel("answer to another call")
+        }
+
         private fun logRejection(answer: AnswerHead) {
             val address = (request.connection as? Connection)?.endPoint?.localSocketAddress
             log.info(
@@ -261,6 +278,7 @@
             attempts.remove(attempt)
             ownConnection?.close()
             release()
+            if (isDisplaced) return
             val answer = head
             val cause = result.failure
             when {
