Tell on call which era of the store answers

What on call saw: nothing.

The header Store-Era of the store's answers is read now. A change of it is logged for each table with the store's version and the known one (store_era_changed), and the metric bilberrycart_gateway_store_era shows it. No decision depends on it yet.

--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/discovery/DiscoveryAction.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/discovery/DiscoveryAction.kt
@@ -36,6 +36,18 @@
     public data class VersionDisproved(val table: StoreTable, val version: Long?) :
         DiscoveryAction()
 
+    /**
+     * Reports that the store has come back from an older copy of itself: its answers about [table]
+     * are of the era [after] now, not [before]. It is at [version]; this node knows [knownVersion].
+     */
+    public data class EraChanged(
+        val table: StoreTable,
+        val before: Long,
+        val after: Long,
+        val version: Long,
+        val knownVersion: Long?,
+    ) : DiscoveryAction()
+
     /** Asks the peer at [address] for its copy of [table]. */
     public data class AskPeer(val table: StoreTable, val address: String) : DiscoveryAction()
 
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/discovery/DiscoveryFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/discovery/DiscoveryFilter.kt
@@ -48,7 +48,7 @@
         val feed = state.feeds.getValue(table)
         val call = feed.call?.takeIf { it.number == event.call }
             ?: return Step(state.with(table, lateReply(feed, event, now)))
-        val answered = calls.answered(markRecovered(feed, now), call, now)
+        val answered = noteEra(calls.answered(markRecovered(feed, now), call, now), event.reply)
         return when (val reply = event.reply) {
             is TableReply.Failed ->
                 failed(state, table, feed.copy(call = null), reply.cause, now, retryDelay(feed))
@@ -67,10 +67,32 @@
                 isAvailable = true,
                 "after ${feed.failures} failures",
             )
-            if (hasRecovered) step.copy(actions = step.actions.add(note)) else step
+            val notes = listOfNotNull(note.takeIf { hasRecovered }, eraChange(table, feed, event.reply))
+            step.copy(actions = step.actions.addAll(notes))
         }
     }
 
+    private fun noteEra(feed: TableFeed, reply: TableReply): TableFeed = when (reply) {
+        is TableReply.Page -> feed.copy(era = reply.era)
+        is TableReply.Changes -> feed.copy(era = reply.era)
+        is TableReply.Failed, TableReply.HistoryLost -> feed
+    }
+
+    private fun eraChange(
+        table: StoreTable,
+        feed: TableFeed,
+        reply: TableReply,
+    ): DiscoveryAction.EraChanged? {
+        val before = feed.era
+        val (after, version) = when (reply) {
+            is TableReply.Page -> reply.era to reply.version
+            is TableReply.Changes -> reply.era to reply.version
+            is TableReply.Failed, TableReply.HistoryLost -> return null
+        }
+        if (before == null || before == after) return null
+        return DiscoveryAction.EraChanged(table, before, after, version, feed.version)
+    }
+
     /** Starts the next call after one that failed because of [cause]. */
     private fun failed(
         state: DiscoveryState,
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/discovery/DiscoveryState.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/discovery/DiscoveryState.kt
@@ -29,6 +29,7 @@
         FeedStats(
             table.name,
             feed.version,
+            feed.era,
             answerAge = feed.answeredAt?.let { now - it },
             callAge = feed.call?.let { (now - it.startsAt).coerceAtLeast(Duration.ZERO) },
         )
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/discovery/TableFeed.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/discovery/TableFeed.kt
@@ -12,6 +12,8 @@
  * @property rows the rows as of [version], by key.
  * @property version the version as of which [rows] are known; null before they were all read.
  * @property changedVersion the version of the last known change of a row.
+ * @property era how often the store had come back from an older copy of itself, by its last answer;
+ *   null before the first.
  * @property partialRead what has been read so far while pages are missing; null if none are.
  * @property call the call to the store that has not been answered; null before the first.
  * @property lastCall the number of the last call.
@@ -33,6 +35,7 @@
     val rows: PersistentMap<String, StoreRow> = persistentMapOf(),
     val version: Long? = null,
     val changedVersion: Long? = null,
+    val era: Long? = null,
     val partialRead: PartialRead? = null,
     val call: PendingCall? = null,
     val lastCall: Long = 0,
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/metrics/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/metrics/GatewayMetrics.kt
@@ -102,6 +102,9 @@
         feedGauge("table_version", "Version as of which a table is known.", feeds) {
             it.version?.toDouble()
         }
+        feedGauge("store_era", "How often the store came back from an older copy.", feeds) {
+            it.era?.toDouble()
+        }
         feedGauge("store_answer_age_seconds", "Time since the store answered.", feeds) {
             it.answerAge?.toDouble(DurationUnit.SECONDS)
         }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DecisionLog.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DecisionLog.kt
@@ -175,6 +175,15 @@
         action.version,
     )
 
+    fun storeEraChanged(action: DiscoveryAction.EraChanged) = log.warn(
+        "event=store_era_changed table={} before={} after={} version={} known_version={}",
+        action.table,
+        action.before,
+        action.after,
+        action.version,
+        action.knownVersion,
+    )
+
     fun tableRead(action: DiscoveryAction.Publish, unreadable: List<String>) = log.info(
         "event=table_read table={} version={} rows={} unreadable={} first_unreadable={}",
         action.table,
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DiscoverySink.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DiscoverySink.kt
@@ -47,6 +47,7 @@
             store.renewConnections()
         }
         is DiscoveryAction.VersionDisproved -> log.versionDisproved(action)
+        is DiscoveryAction.EraChanged -> log.storeEraChanged(action)
         is DiscoveryAction.AskPeer -> askPeer(action)
         is DiscoveryAction.Publish -> publish(action)
         is DiscoveryAction.StoreStatusChanged -> {
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/discovery/DiscoveryFixture.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/discovery/DiscoveryFixture.kt
@@ -76,6 +76,7 @@
         is DiscoveryAction.AskPeer -> "ask ${action.address}"
         is DiscoveryAction.StoreStatusChanged -> if (action.isAvailable) "back" else "lost"
         is DiscoveryAction.GiveUp -> "give up"
+        is DiscoveryAction.EraChanged -> "era ${action.before} to ${action.after}"
         is DiscoveryAction.VersionDisproved -> "disproved ${action.version}"
     }
 
