Compare versions of the store together with its era

Cause: a version of the store means something only within one era. A node compared bare numbers. The restored store gave the number that the node knew out again, for the new configuration; the node asked for what is newer than that number and never got the row. Class: a number is compared beyond the scope in which it orders anything. Found in the feed of a table, in its pages, in what peers tell of their tables and in the copies that they send.

StoreVersion has the era and the number, in that order, in rows, feeds, calls, gossip and copies. A new era asks for a whole read, whatever the numbers are. What is known stays where it is later than the copy: the configuration by the operator's version, which decides first between nodes too (TableEdition); an entry of an upstream by the start of its process, and by its leaving. An entry that was removed and comes back with the copy is withheld until its upstream writes it, or for six seconds.

RestoredStoreTest (24 cases), RestoredStoreNodeTest (3) and an era case of PlatformStoreTest hold.

--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/discovery/DiscoveryAction.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/discovery/DiscoveryAction.kt
@@ -23,7 +23,7 @@
     public data class Follow(
         val table: StoreTable,
         val call: Long,
-        val version: Long,
+        val version: StoreVersion,
         val wait: Duration,
         val delay: Duration,
     ) : DiscoveryAction()
@@ -33,19 +33,17 @@
         DiscoveryAction()
 
     /** Reports that the store keeps answering with versions of [table] below [version]. */
-    public data class VersionDisproved(val table: StoreTable, val version: Long?) :
+    public data class VersionDisproved(val table: StoreTable, val version: StoreVersion?) :
         DiscoveryAction()
 
     /**
-     * Reports that the store has come back from an older copy of itself: its answers about [table]
-     * are of the era [after] now, not [before]. It is at [version]; this node knows [knownVersion].
+     * Reports that the store has come back from an older copy of itself and is at [version], where
+     * this node knows [table] as of [known].
      */
     public data class EraChanged(
         val table: StoreTable,
-        val before: Long,
-        val after: Long,
-        val version: Long,
-        val knownVersion: Long?,
+        val known: StoreVersion,
+        val version: StoreVersion,
     ) : DiscoveryAction()
 
     /** Asks the peer at [address] for its copy of [table]. */
@@ -55,7 +53,7 @@
     public data class Publish(
         val table: StoreTable,
         val rows: PersistentList<StoreRow>,
-        val version: Long?,
+        val version: StoreVersion?,
     ) : DiscoveryAction()
 
     /** Reports that calls about [table] began to fail or, with [isAvailable], succeed again. */
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/discovery/DiscoveryEvent.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/discovery/DiscoveryEvent.kt
@@ -9,9 +9,12 @@
     public data class Replied(val table: StoreTable, val call: Long, val reply: TableReply) :
         DiscoveryEvent()
 
-    /** The peer at [address] reported that its copy of [table] has [version]. */
-    public data class PeerVersion(val table: StoreTable, val address: String, val version: Long) :
-        DiscoveryEvent()
+    /** The peer at [address] reported that its copy of [table] has [edition]. */
+    public data class PeerReported(
+        val table: StoreTable,
+        val address: String,
+        val edition: TableEdition,
+    ) : DiscoveryEvent()
 
     /** A peer sent its copy of [table]. */
     public data class PeerTable(val table: StoreTable, val page: TableReply.Page) :
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/discovery/DiscoveryFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/discovery/DiscoveryFilter.kt
@@ -2,7 +2,6 @@
 
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlinx.collections.immutable.persistentMapOf
 import org.bilberrycart.pipeline.Filter
 import org.bilberrycart.pipeline.Step
 import org.bilberrycart.pipeline.then
@@ -17,12 +16,22 @@
  * While the store is unavailable, upstreams that are alive cannot renew their rows. Rows that
  * disappear soon after the store has recovered are therefore retained until some time after
  * the recovery.
+ *
+ * A store may come back from an older copy of itself, in a new era. The tables are read as a whole
+ * then, and what is known stays where it is later than the copy.
+ *
+ * @property settings the timeouts.
+ * @param rows parses rows, to tell which of two is later.
  */
-public class DiscoveryFilter(private val settings: DiscoverySettings = DiscoverySettings()) :
-    Filter<DiscoveryState, DiscoveryEvent, DiscoveryAction> {
+public class DiscoveryFilter(
+    private val settings: DiscoverySettings = DiscoverySettings(),
+    rows: RowReader,
+) : Filter<DiscoveryState, DiscoveryEvent, DiscoveryAction> {
     private val calls = StoreCalls(settings)
     private val feedSteps = FeedSteps(settings)
-    private val peerSteps = PeerSteps(feedSteps)
+    private val merge = TableMerge(RowOrder(rows))
+    private val replySteps = ReplySteps(settings, feedSteps, merge)
+    private val peerSteps = PeerSteps(feedSteps, merge)
 
     override fun step(
         state: DiscoveryState,
@@ -33,7 +42,7 @@
             feedSteps.read(next, table, feed, now)
         }
         is DiscoveryEvent.Replied -> replied(state, event, now)
-        is DiscoveryEvent.PeerVersion -> peerSteps.versionReported(state, event, now)
+        is DiscoveryEvent.PeerReported -> peerSteps.reported(state, event, now)
         is DiscoveryEvent.PeerTable -> peerSteps.copyReceived(state, event, now)
         is DiscoveryEvent.PeerCountChanged -> Step(state.copy(peers = event.count))
         DiscoveryEvent.Tick -> tick(state, now)
@@ -48,12 +57,12 @@
         val feed = state.feeds.getValue(table)
         val call = feed.call?.takeIf { it.number == event.call }
             ?: return Step(state.with(table, lateReply(feed, event, now)))
-        val answered = noteEra(calls.answered(markRecovered(feed, now), call, now), event.reply)
+        val answered = calls.answered(markRecovered(feed, now), call, now)
         return when (val reply = event.reply) {
             is TableReply.Failed ->
                 failed(state, table, feed.copy(call = null), reply.cause, now, retryDelay(feed))
-            is TableReply.Page -> page(state, table, answered, reply, now)
-            is TableReply.Changes -> changed(state, table, answered, call, reply, now)
+            is TableReply.Page -> replySteps.page(state, table, answered, reply, now)
+            is TableReply.Changes -> replySteps.changed(state, table, answered, call, reply, now)
             TableReply.HistoryLost -> feedSteps.read(
                 state,
                 table,
@@ -67,32 +76,10 @@
                 isAvailable = true,
                 "after ${feed.failures} failures",
             )
-            val notes = listOfNotNull(note.takeIf { hasRecovered }, eraChange(table, feed, event.reply))
-            step.copy(actions = step.actions.addAll(notes))
+            if (hasRecovered) step.copy(actions = step.actions.add(note)) else step
         }
     }
 
-    private fun noteEra(feed: TableFeed, reply: TableReply): TableFeed = when (reply) {
-        is TableReply.Page -> feed.copy(era = reply.era)
-        is TableReply.Changes -> feed.copy(era = reply.era)
-        is TableReply.Failed, TableReply.HistoryLost -> feed
-    }
-
-    private fun eraChange(
-        table: StoreTable,
-        feed: TableFeed,
-        reply: TableReply,
-    ): DiscoveryAction.EraChanged? {
-        val before = feed.era
-        val (after, version) = when (reply) {
-            is TableReply.Page -> reply.era to reply.version
-            is TableReply.Changes -> reply.era to reply.version
-            is TableReply.Failed, TableReply.HistoryLost -> return null
-        }
-        if (before == null || before == after) return null
-        return DiscoveryAction.EraChanged(table, before, after, version, feed.version)
-    }
-
     /** Starts the next call after one that failed because of [cause]. */
     private fun failed(
         state: DiscoveryState,
@@ -143,125 +130,6 @@
         )
     }
 
-    private fun page(
-        state: DiscoveryState,
-        table: StoreTable,
-        feed: TableFeed,
-        page: TableReply.Page,
-        now: Duration,
-    ): Step<DiscoveryState, DiscoveryAction> {
-        val before = feed.partialRead ?: PartialRead(persistentMapOf(), page.version)
-        val read = before.copy(rows = before.rows.putAll(page.rows.associateBy { it.key }))
-        val nextKey = page.next
-        val version = feed.version ?: -1
-        return when {
-            nextKey != null -> feedSteps.read(
-                state,
-                table,
-                feed.copy(partialRead = read),
-                now,
-                nextKey,
-            )
-            // A peer's copy, which arrived meanwhile, has changes that these rows lack.
-            read.version < version -> {
-                val wasInParts = feed.partialRead != null
-                stale(state, table, feed.copy(partialRead = null), now, readAgain = wasInParts)
-            }
-            else -> {
-                val whole = feed.withWholeTable(read.rows, read.version)
-                    .copy(partialRead = null, staleSince = null)
-                val isFirstPage = feed.partialRead == null
-                val delay = if (isFirstPage) {
-                    feedSteps.followDelay(
-                        table,
-                        state.peers,
-                    )
-                } else {
-                    Duration.ZERO
-                }
-                feedSteps.publishAndFollow(state, table, feed, whole, now, delay)
-            }
-        }
-    }
-
-    private fun changed(
-        state: DiscoveryState,
-        table: StoreTable,
-        feed: TableFeed,
-        call: PendingCall,
-        changes: TableReply.Changes,
-        now: Duration,
-    ): Step<DiscoveryState, DiscoveryAction> {
-        val known = feed.version ?: -1
-        val next = feed.copy(staleSince = null)
-        return when {
-            changes.version < (call.after ?: -1) -> stale(
-                state,
-                table,
-                feed,
-                now,
-                readAgain = false,
-            )
-            // A peer's copy is newer.
-            changes.version < known -> feedSteps.follow(state, table, next, known, now)
-            changes.rows.isEmpty() -> {
-                val current = next.copy(version = changes.version)
-                feedSteps.follow(state, table, current, changes.version, now)
-            }
-            else -> {
-                val rows = changes.rows.fold(feed.rows) { rows, row ->
-                    if (row.value == null) rows.remove(row.key) else rows.put(row.key, row)
-                }
-                val after = next.withChanges(rows, changes.rows, changes.version)
-                val delay = feedSteps.followDelay(table, state.peers)
-                feedSteps.publishAndFollow(state, table, feed, after, now, delay)
-            }
-        }
-    }
-
-    /**
-     * Handles an answer that is older than what is known.
-     *
-     * If the store goes on answering so, what is known is wrong, and the table is read as it is
-     * now. For a while, the store may only be behind.
-     */
-    private fun stale(
-        state: DiscoveryState,
-        table: StoreTable,
-        feed: TableFeed,
-        now: Duration,
-        readAgain: Boolean,
-    ): Step<DiscoveryState, DiscoveryAction> {
-        val version = feed.version
-        val since = feed.staleSince ?: now
-        val next = feed.copy(staleSince = since)
-        return when {
-            version == null || now - since >= settings.maxStaleTime ->
-                disproved(state, table, feed, now)
-            readAgain -> feedSteps.read(state, table, next, now, delay = FIRST_RETRY_DELAY)
-            else -> feedSteps.follow(state, table, next, version, now, FIRST_RETRY_DELAY)
-        }
-    }
-
-    /** Reads [table] anew, without regard to the version that was known. */
-    private fun disproved(
-        state: DiscoveryState,
-        table: StoreTable,
-        feed: TableFeed,
-        now: Duration,
-    ): Step<DiscoveryState, DiscoveryAction> {
-        val doubtful = feed.copy(
-            version = null,
-            changedVersion = null,
-            staleSince = null,
-            disprovedVersion = feed.version,
-            peerLead = null,
-        )
-        val step = feedSteps.read(state, table, doubtful, now)
-        val note = DiscoveryAction.VersionDisproved(table, feed.version)
-        return step.copy(actions = step.actions.add(note))
-    }
-
     private fun tick(state: DiscoveryState, now: Duration): Step<DiscoveryState, DiscoveryAction> =
         forEachFeed(state) { next, table, feed ->
             val call = feed.call
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/discovery/DiscoveryState.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/discovery/DiscoveryState.kt
@@ -21,15 +21,13 @@
     val peers: Int = 0,
 ) {
     /** Returns whether [DiscoveryEvent.Tick] may have something to do at [now]. */
-    public fun isDue(now: Duration): Boolean =
-        feeds.values.any { it.retainedRows.isNotEmpty() || it.isDue(now) }
+    public fun isDue(now: Duration): Boolean = feeds.values.any { it.hasTimedRows || it.isDue(now) }
 
     /** Returns how current each table is at [now]. */
     public fun stats(now: Duration): List<FeedStats> = feeds.map { (table, feed) ->
         FeedStats(
             table.name,
             feed.version,
-            feed.era,
             answerAge = feed.answeredAt?.let { now - it },
             callAge = feed.call?.let { (now - it.startsAt).coerceAtLeast(Duration.ZERO) },
         )
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/discovery/FeedSteps.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/discovery/FeedSteps.kt
@@ -26,13 +26,16 @@
         state: DiscoveryState,
         table: StoreTable,
         feed: TableFeed,
-        version: Long,
+        version: StoreVersion,
         now: Duration,
         delay: Duration = Duration.ZERO,
     ): Step<DiscoveryState, DiscoveryAction> =
         started(state, table, calls.follow(table, feed, version, now, state.peers, delay))
 
-    /** Publishes the rows of [after], which follows [before], and requests further changes. */
+    /**
+     * Publishes the rows of [after], which follows [before] and has a version, and requests further
+     * changes.
+     */
     fun publishAndFollow(
         state: DiscoveryState,
         table: StoreTable,
@@ -42,7 +45,8 @@
         delay: Duration,
     ): Step<DiscoveryState, DiscoveryAction> {
         val next = RowRetention.retainVanished(before, after, now)
-        val step = follow(state, table, next, next.version ?: 0, now, delay)
+        val version = checkNotNull(next.version) { "$table was not read" }
+        val step = follow(state, table, next, version, now, delay)
         return step.copy(actions = step.actions.add(0, publication(table, next)))
     }
 
@@ -75,12 +79,12 @@
         private val LONG_DELAY_PER_PEER = 50.milliseconds
 
         /** Returns the action that publishes the rows of [feed]. */
-        fun publication(table: StoreTable, feed: TableFeed): DiscoveryAction =
-            DiscoveryAction.Publish(
-                table,
-                (feed.rows.values + feed.retainedRows.values.map { it.row }).toPersistentList(),
-                feed.version,
-            )
+        fun publication(table: StoreTable, feed: TableFeed): DiscoveryAction {
+            val known = feed.rows.filterKeys { it !in feed.removed.withheldUntil }
+            val retained = feed.retainedRows.values.map { it.row }
+            val rows = (known.values + retained).toPersistentList()
+            return DiscoveryAction.Publish(table, rows, feed.version)
+        }
     }
 }
 
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/discovery/PeerSteps.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/discovery/PeerSteps.kt
@@ -7,23 +7,23 @@
 import org.bilberrycart.pipeline.withActions
 
 /** Takes changes from peers that the store does not send in time. */
-internal class PeerSteps(private val feedSteps: FeedSteps) {
+internal class PeerSteps(private val feedSteps: FeedSteps, private val merge: TableMerge) {
     /** Requests the peer's copy if it has a change that the store does not send in time. */
-    fun versionReported(
+    fun reported(
         state: DiscoveryState,
-        event: DiscoveryEvent.PeerVersion,
+        event: DiscoveryEvent.PeerReported,
         now: Duration,
     ): Step<DiscoveryState, DiscoveryAction> {
         val feed = state.feeds.getValue(event.table)
-        val lead = feed.peerLead?.takeIf { feed.isBehind(it.version) }
+        val lead = feed.peerLead?.takeIf { feed.isBehind(it.edition) }
         return when {
-            !feed.isBehind(event.version) -> Step(state)
+            !feed.isBehind(event.edition) -> Step(state)
             feed.isFailing -> askPeer(state, event.table, event.address, now)
             // The first read is not late as long as it does not fail.
             feed.version == null -> Step(state)
             else -> {
                 val askAt = lead?.askAt ?: (now + leadTime(event.table, state.peers))
-                val next = PeerLead(event.address, event.version, askAt)
+                val next = PeerLead(event.address, event.edition, askAt)
                 Step(state.with(event.table, feed.copy(peerLead = next)))
             }
         }
@@ -37,7 +37,7 @@
         lead: PeerLead,
         now: Duration,
     ): Step<DiscoveryState, DiscoveryAction> {
-        if (!feed.isBehind(lead.version)) return Step(state.with(table, feed.copy(peerLead = null)))
+        if (!feed.isBehind(lead.edition)) return Step(state.with(table, feed.copy(peerLead = null)))
         val next = lead.copy(askAt = now + REQUEST_INTERVAL)
         return askPeer(state.with(table, feed.copy(peerLead = next)), table, lead.address, now)
     }
@@ -48,14 +48,18 @@
         event: DiscoveryEvent.PeerTable,
         now: Duration,
     ): Step<DiscoveryState, DiscoveryAction> {
-        val feed = state.feeds.getValue(event.table)
+        val table = event.table
+        val feed = state.feeds.getValue(table)
         val page = event.page
-        if (!feed.isBehind(page.version)) return Step(state)
         val rows = page.rows.associateBy { it.key }.toPersistentMap()
-        val copied = feed.withWholeTable(rows, page.version).copy(peerLead = null)
-        val next = RowRetention.retainVanished(feed, copied, now)
-        return state.with(event.table, next)
-            .withActions(FeedSteps.publication(event.table, next))
+        if (!feed.isBehind(merge.edition(table, rows, page.version))) return Step(state)
+        val isLaterRead = feed.version?.let { page.version > it } ?: true
+        val copied = when {
+            isLaterRead -> merge.wholeTable(table, feed, rows, page.version, now)
+            else -> merge.laterRows(table, feed, rows)
+        }
+        val next = RowRetention.retainVanished(feed, copied.copy(peerLead = null), now)
+        return state.with(table, next).withActions(FeedSteps.publication(table, next))
     }
 
     private fun askPeer(
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/discovery/PendingCall.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/discovery/PendingCall.kt
@@ -16,7 +16,7 @@
     val startsAt: Duration,
     val wait: Duration,
     val patience: Duration,
-    val after: Long?,
+    val after: StoreVersion?,
 ) {
     /** When the call is given up. */
     val dueAt: Duration
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/discovery/StoreCalls.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/discovery/StoreCalls.kt
@@ -32,7 +32,7 @@
     fun follow(
         table: StoreTable,
         feed: TableFeed,
-        version: Long,
+        version: StoreVersion,
         now: Duration,
         peers: Int,
         delay: Duration = Duration.ZERO,
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/discovery/StoreClient.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/discovery/StoreClient.kt
@@ -13,7 +13,12 @@
     public fun read(table: StoreTable, from: String?, reply: (TableReply) -> Unit)
 
     /** Waits up to [wait] for changes of [table] that are newer than [version]. */
-    public fun follow(table: StoreTable, version: Long, wait: Duration, reply: (TableReply) -> Unit)
+    public fun follow(
+        table: StoreTable,
+        version: StoreVersion,
+        wait: Duration,
+        reply: (TableReply) -> Unit,
+    )
 
     /** Makes later calls on new connections, since an open one may be silent. */
     public fun renewConnections() {}
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/discovery/TableReply.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/discovery/TableReply.kt
@@ -8,21 +8,16 @@
      * A page of a table as of [version].
      *
      * @property next the key at which the next page begins; null on the last page.
-     * @property era which life of the store answered, see [TableFeed.era].
      */
     public data class Page(
         val rows: PersistentList<StoreRow>,
-        val version: Long,
+        val version: StoreVersion,
         val next: String?,
-        val era: Long = 0,
     ) : TableReply()
 
-    /** The rows that changed up to [version]; see [Page] for [era]. */
-    public data class Changes(
-        val rows: PersistentList<StoreRow>,
-        val version: Long,
-        val era: Long = 0,
-    ) : TableReply()
+    /** The rows that changed up to [version]. */
+    public data class Changes(val rows: PersistentList<StoreRow>, val version: StoreVersion) :
+        TableReply()
 
     /** The store no longer keeps the requested changes; the table has to be read again. */
     public data object HistoryLost : TableReply()
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/metrics/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/metrics/GatewayMetrics.kt
@@ -100,10 +100,10 @@
             .callback { gauge -> version()?.let { gauge.call(it.toDouble()) } }
             .register(registry)
         feedGauge("table_version", "Version as of which a table is known.", feeds) {
-            it.version?.toDouble()
+            it.version?.number?.toDouble()
         }
         feedGauge("store_era", "How often the store came back from an older copy.", feeds) {
-            it.era?.toDouble()
+            it.version?.era?.toDouble()
         }
         feedGauge("store_answer_age_seconds", "Time since the store answered.", feeds) {
             it.answerAge?.toDouble(DurationUnit.SECONDS)
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DecisionLog.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DecisionLog.kt
@@ -176,12 +176,10 @@
     )
 
     fun storeEraChanged(action: DiscoveryAction.EraChanged) = log.warn(
-        "event=store_era_changed table={} before={} after={} version={} known_version={}",
+        "event=store_era_changed table={} version={} known_version={}",
         action.table,
-        action.before,
-        action.after,
         action.version,
-        action.knownVersion,
+        action.known,
     )
 
     fun tableRead(action: DiscoveryAction.Publish, unreadable: List<String>) = log.info(
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/GatewayNode.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/GatewayNode.kt
@@ -119,6 +119,7 @@
                 applyTime = applyMillis().milliseconds,
                 contactTime = settings.contactMillis.milliseconds,
             ),
+            rows,
         ),
         DiscoverySink(
             rings,
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/PeerLinks.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/PeerLinks.kt
@@ -106,8 +106,8 @@
 
     private fun tick(): PeersEvent = PeerReports.tick(
         placementState(),
-        tableVersions = discoveryState().feeds.entries.mapNotNull { (table, feed) ->
-            feed.changedVersion?.let { table.name to it }
+        editions = discoveryState().feeds.entries.mapNotNull { (table, feed) ->
+            feed.edition?.let { table.name to it }
         }.toMap(),
         clock.now(),
         configurationStatus(),
@@ -115,16 +115,16 @@
 
     private fun configurationStatus(): TableStatus {
         val feed = discoveryState().feeds.getValue(StoreTable.CONFIGURATION)
-        return TableStatus(StoreTable.CONFIGURATION.name, feed.newestVersion, feed.confirmedAt)
+        return TableStatus(StoreTable.CONFIGURATION.name, feed.newestEdition, feed.confirmedAt)
     }
 
     private fun execute(action: PeersAction): Unit = when (action) {
         is PeersAction.Send -> socket.send(action.addresses, action.message)
         is PeersAction.SummaryChanged -> placement(PeerReports.peerReport(action, self))
-        is PeersAction.TableVersions -> action.versions.forEach { (name, version) ->
+        is PeersAction.TableEditions -> action.editions.forEach { (name, edition) ->
             StoreTable.entries.firstOrNull { it.name == name }
-                ?.takeIf { discoveryState().feeds.getValue(it).isBehind(version) }
-                ?.let { discovery(DiscoveryEvent.PeerVersion(it, action.address, version)) }
+                ?.takeIf { discoveryState().feeds.getValue(it).isBehind(edition) }
+                ?.let { discovery(DiscoveryEvent.PeerReported(it, action.address, edition)) }
         }
         is PeersAction.PeerStatusChanged -> {
             log.peerStatus(action)
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/PeerReports.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/PeerReports.kt
@@ -4,6 +4,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.collections.immutable.toPersistentMap
+import org.bilberrycart.gateway.discovery.TableEdition
 import org.bilberrycart.gateway.model.CallFingerprint
 import org.bilberrycart.gateway.model.ServiceName
 import org.bilberrycart.gateway.model.UpstreamId
@@ -20,12 +21,12 @@
     private val LOSS_REPORT_TIME = 300.milliseconds
 
     /**
-     * Returns what a node in [state] with the tables of [tableVersions] and a [configuration] of
+     * Returns what a node in [state] with the tables of [editions] and a [configuration] of
      * this status reports at [now].
      */
     fun tick(
         state: PlacementState,
-        tableVersions: Map<String, Long>,
+        editions: Map<String, TableEdition>,
         now: Duration,
         configuration: TableStatus? = null,
     ): PeersEvent.Tick = PeersEvent.Tick(
@@ -33,7 +34,7 @@
         lossAges = state.upstreams.values
             .filter { it.failures > 0 && now - it.failedAt < LOSS_REPORT_TIME }
             .associate { it.entry.id.value to (now - it.failedAt).inWholeMilliseconds.toInt() },
-        tableVersions = tableVersions,
+        editions = editions,
         crashes = state.crashes.toGossip(now).entries.associate { (content, crashes) ->
             content.value to crashes.map(CrashNames::nameOf)
         },
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/GossipMessage.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/GossipMessage.kt
@@ -3,6 +3,7 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.CborLabel
+import org.bilberrycart.gateway.discovery.TableEdition
 import org.bilberrycart.gateway.model.PartReport
 import org.bilberrycart.gateway.model.RetryUse
 
@@ -17,8 +18,7 @@
  * @property lossAges how many milliseconds ago the sender lost each upstream, by id.
  * @property crashes the names of crashes of upstreams that began a call, by its fingerprint; those
  *   too that nodes reported which are gone.
- * @property tableVersions the version of the last change that the sender knows of each table, by
- *   name.
+ * @property editions how new the sender's copy of each table of the store is, by name of the table.
  * @property retries the sender's use of the retry budget of each service in the retry window.
  * @property parts what the sender knows of prompt parts that may crash upstreams.
  * @property configurationAge how many milliseconds ago the store told the sender that there is no
@@ -32,7 +32,7 @@
     @CborLabel(label = 4) val members: List<String> = emptyList(),
     @CborLabel(label = 5) val loads: Map<String, Int> = emptyMap(),
     @CborLabel(label = 6) @SerialName("lost") val lossAges: Map<String, Int> = emptyMap(),
-    @CborLabel(label = 7) @SerialName("tables") val tableVersions: Map<String, Long> = emptyMap(),
+    @CborLabel(label = 12) val editions: Map<String, TableEdition> = emptyMap(),
     @CborLabel(label = 8) @SerialName("strikes")
     val crashes: Map<Long, List<String>> = emptyMap(),
     @CborLabel(label = 9) val retries: Map<String, RetryUse> = emptyMap(),
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeerSummaries.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeerSummaries.kt
@@ -67,8 +67,7 @@
     /** Returns the status of the configuration [own], by the store and by [peers]. */
     private fun statusOf(own: TableStatus, peers: Collection<PeerView>): ConfigurationStatus {
         val (newer, others) = peers.partition { peer ->
-            val version = peer.message.tableVersions[own.table] ?: -1
-            version > (own.version ?: -1)
+            peer.message.editions[own.table]?.let { it > own.edition } == true
         }
         val confirmations = others.mapNotNull { peer ->
             peer.message.configurationAge?.let { peer.lastSeenAt - it.milliseconds }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeersAction.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeersAction.kt
@@ -1,5 +1,7 @@
 package org.bilberrycart.gateway.peers
 
+import org.bilberrycart.gateway.discovery.TableEdition
+
 /** The actions that the peers filter requests. */
 public sealed class PeersAction {
     /** Sends [message] to each of [addresses]. */
@@ -10,8 +12,8 @@
     public data class SummaryChanged(val summary: PeerSummary, val peers: Set<String>) :
         PeersAction()
 
-    /** Reports the version of each table that the peer at [address] has, by name of the table. */
-    public data class TableVersions(val address: String, val versions: Map<String, Long>) :
+    /** Reports the edition of each table that the peer at [address] has, by name of the table. */
+    public data class TableEditions(val address: String, val editions: Map<String, TableEdition>) :
         PeersAction()
 
     /** Reports that a peer was added, or removed after its timeout; [peerCount] peers remain. */
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeersEvent.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeersEvent.kt
@@ -1,5 +1,6 @@
 package org.bilberrycart.gateway.peers
 
+import org.bilberrycart.gateway.discovery.TableEdition
 import org.bilberrycart.gateway.model.PartReport
 import org.bilberrycart.gateway.model.RetryUse
 
@@ -15,7 +16,7 @@
     public data class Tick(
         val loads: Map<String, Int>,
         val lossAges: Map<String, Int>,
-        val tableVersions: Map<String, Long>,
+        val editions: Map<String, TableEdition>,
         val crashes: Map<Long, List<String>> = emptyMap(),
         val retries: Map<String, RetryUse> = emptyMap(),
         val parts: PartReport = PartReport(),
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeersFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeersFilter.kt
@@ -51,10 +51,10 @@
         val actions = listOfNotNull(
             PeersAction.PeerStatusChanged(message.sender, isAlive = true, next.peers.size)
                 .takeIf { isNew },
-            PeersAction.TableVersions(message.sender, message.tableVersions)
+            PeersAction.TableEditions(message.sender, message.editions)
                 .takeIf {
-                    known?.message?.tableVersions != message.tableVersions ||
-                        message.sequence % TABLE_VERSIONS_PERIOD == 0L
+                    known?.message?.editions != message.editions ||
+                        message.sequence % EDITIONS_PERIOD == 0L
                 },
         )
         return Step(next, actions.toPersistentList())
@@ -107,7 +107,7 @@
         now: Duration,
     ): Step<PeersState, PeersAction> {
         val isChanged = state.lastSent?.loads != event.loads ||
-            state.lastSent.tableVersions != event.tableVersions ||
+            state.lastSent.editions != event.editions ||
             state.lastSent.crashes != event.crashes ||
             hasNewRetries(event.retries, state.lastSent.retries) ||
             !state.lastSent.parts.hasSameSubjects(event.parts) ||
@@ -147,7 +147,7 @@
             members = state.peers.keys.take(MAX_MEMBERS),
             loads = event.loads,
             lossAges = event.lossAges,
-            tableVersions = event.tableVersions,
+            editions = event.editions,
             crashes = event.crashes,
             retries = event.retries,
             parts = event.parts,
@@ -234,7 +234,7 @@
         const val MAX_MEMBERS = 16
         const val MAX_CONTACTED = 4
 
-        /** Unchanged table versions are reported again after this many messages of a peer. */
-        const val TABLE_VERSIONS_PERIOD = 8
+        /** Unchanged editions of tables are reported again after this many messages of a peer. */
+        const val EDITIONS_PERIOD = 8
     }
 }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/TableCopy.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/TableCopy.kt
@@ -5,6 +5,7 @@
 import kotlinx.serialization.cbor.ByteString
 import kotlinx.serialization.cbor.CborLabel
 import org.bilberrycart.gateway.discovery.StoreRow
+import org.bilberrycart.gateway.discovery.StoreVersion
 import org.bilberrycart.gateway.discovery.TableFeed
 import org.bilberrycart.gateway.discovery.TableReply
 import org.bilberrycart.gateway.model.Body
@@ -12,7 +13,7 @@
 /** The copy of a table of the store that a node sends to one that cannot reach the store. */
 @Serializable
 internal data class TableCopy(
-    @CborLabel(label = 1) val version: Long,
+    @CborLabel(label = 1) val version: StoreVersion,
     @CborLabel(label = 2) val rows: List<Row>,
 ) {
     /** A row of the copy, as in [StoreRow]. */
@@ -20,7 +21,7 @@
     data class Row(
         @CborLabel(label = 1) val key: String,
         @ByteString @CborLabel(label = 2) val value: ByteArray,
-        @CborLabel(label = 3) val version: Long,
+        @CborLabel(label = 3) val version: StoreVersion,
     )
 
     /** Returns the copy as a page of the table. */
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/budget/VirtualFleet.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/budget/VirtualFleet.kt
@@ -8,6 +8,8 @@
 import kotlinx.collections.immutable.persistentSetOf
 import kotlinx.collections.immutable.toPersistentList
 import org.bilberrycart.gateway.Samples
+import org.bilberrycart.gateway.discovery.StoreVersion
+import org.bilberrycart.gateway.discovery.TableEdition
 import org.bilberrycart.gateway.model.RetryRule
 import org.bilberrycart.gateway.model.ServiceName
 import org.bilberrycart.gateway.peers.GossipMessage
@@ -132,9 +134,10 @@
         val moved = active<Disruption.RouteMoved>()
         val cutOffAt = moved.filter { isStale(node) }.map { it.at }
         val outages = active<Disruption.StoreOutage>().filter { now < it.at + it.time }
+        val version = if (moved.isEmpty() || isStale(node)) 1L else 2L
         return TableStatus(
             table = "CONFIGURATION",
-            version = if (moved.isEmpty() || isStale(node)) 1 else 2,
+            edition = TableEdition(version, StoreVersion(era = 0, version)),
             confirmedAt = (cutOffAt + outages.map { it.at } + now).min(),
         )
     }
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/budget/VirtualNode.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/budget/VirtualNode.kt
@@ -48,8 +48,8 @@
     /** Runs the periodic checks of a node whose configuration is [configuration]. */
     fun tick(configuration: TableStatus, now: Duration) {
         step(PlacementEvent.Tick, now)
-        val versions = mapOf(configuration.table to (configuration.version ?: 0))
-        step(PeerReports.tick(placement, versions, now, configuration), now)
+        val editions = mapOf(configuration.table to configuration.edition)
+        step(PeerReports.tick(placement, editions, now, configuration), now)
     }
 
     private fun step(event: PeersEvent, now: Duration) {
@@ -61,6 +61,6 @@
     private fun execute(action: PeersAction, now: Duration): Unit = when (action) {
         is PeersAction.Send -> onGossip(action)
         is PeersAction.SummaryChanged -> step(PeerReports.peerReport(action, address), now)
-        is PeersAction.TableVersions, is PeersAction.PeerStatusChanged -> Unit
+        is PeersAction.TableEditions, is PeersAction.PeerStatusChanged -> Unit
     }
 }
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/discovery/DiscoveryFilterTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/discovery/DiscoveryFilterTest.kt
@@ -7,6 +7,7 @@
 import kotlin.time.Duration.Companion.seconds
 import org.bilberrycart.gateway.discovery.DiscoveryFixture.check
 import org.bilberrycart.gateway.discovery.DiscoveryFixture.describe
+import org.bilberrycart.gateway.discovery.DiscoveryFixture.edition
 import org.bilberrycart.gateway.discovery.DiscoveryFixture.handle
 import org.bilberrycart.gateway.discovery.DiscoveryFixture.page
 import org.bilberrycart.gateway.discovery.DiscoveryFixture.removed
@@ -24,7 +25,7 @@
                 Triple(StoreTable.UPSTREAMS, 330, 750.milliseconds),
                 Triple(StoreTable.CONFIGURATION, 330, 0.milliseconds),
             ) { (table, peers, followDelay) ->
-                val filter = DiscoveryFilter()
+                val filter = DiscoveryFilter(rows = TestRows)
                 val peerCount = DiscoveryEvent.PeerCountChanged(peers)
                 val state = filter.step(filter.started(), peerCount, 1.seconds).state
                 filter.handle(state, replied(page("a"), table), 1.seconds).actions
@@ -88,7 +89,7 @@
         }
 
         test("a table is read again if a peer's copy is newer than its first page") {
-            val filter = DiscoveryFilter()
+            val filter = DiscoveryFilter(rows = TestRows)
             val copy = DiscoveryEvent.PeerTable(StoreTable.UPSTREAMS, page("b", version = 8))
             val events = listOf(replied(page("a", next = "a0")), copy)
             val state = events.fold(filter.started()) { state, event ->
@@ -99,7 +100,7 @@
         }
 
         test("a table of several pages is followed without a delay") {
-            val filter = DiscoveryFilter()
+            val filter = DiscoveryFilter(rows = TestRows)
             val events =
                 listOf(DiscoveryEvent.PeerCountChanged(330), replied(page("a", next = "b")))
             val state = events.fold(filter.started()) { state, event ->
@@ -112,10 +113,10 @@
 
         context("a node that can't read the store") {
             val storeFailed = listOf(page("a"), TableReply.Failed("503"))
-            val newerVersion = DiscoveryEvent.PeerVersion(
+            val newerVersion = DiscoveryEvent.PeerReported(
                 StoreTable.UPSTREAMS,
                 "10.0.0.2:1",
-                version = 9,
+                edition(9),
             )
             withData(
                 DiscoveryCase(
@@ -127,7 +128,7 @@
                 DiscoveryCase(
                     "does not ask a peer with the same version",
                     storeFailed,
-                    last = newerVersion.copy(version = 7),
+                    last = newerVersion.copy(edition = edition(7)),
                     actions = emptyList(),
                 ),
                 DiscoveryCase(
@@ -141,7 +142,7 @@
                     storeFailed,
                     last = DiscoveryEvent.PeerTable(
                         StoreTable.UPSTREAMS,
-                        page("b").copy(version = 9),
+                        page("b", version = 9),
                     ),
                     actions = listOf("publish b"),
                 ),
@@ -150,7 +151,7 @@
                     storeFailed,
                     last = DiscoveryEvent.PeerTable(
                         StoreTable.UPSTREAMS,
-                        page("b").copy(version = 6),
+                        page("b", version = 6),
                     ),
                     actions = emptyList(),
                 ),
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/discovery/SimulatedStore.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/discovery/SimulatedStore.kt
@@ -28,7 +28,7 @@
         val reply: TableReply,
     )
 
-    private val filter = DiscoveryFilter()
+    private val filter = DiscoveryFilter(rows = TestRows)
     private var state = DiscoveryState()
     private var now = Duration.ZERO
     private var replies = emptyList<Reply>()
@@ -69,7 +69,7 @@
         is DiscoveryAction.Read -> read(action)
         is DiscoveryAction.Follow -> follow(action)
         is DiscoveryAction.Publish -> {
-            val isChanged = action.rows.any { it.version == CHANGED_VERSION }
+            val isChanged = action.rows.any { it.version.number == CHANGED_VERSION }
             if (action.table == table && isChanged) knownAt = knownAt ?: now
             Unit
         }
@@ -87,7 +87,7 @@
 
     private fun follow(action: DiscoveryAction.Follow) {
         val from = now + action.delay
-        val isNewer = action.version < CHANGED_VERSION && action.table == table
+        val isNewer = action.version.number < CHANGED_VERSION && action.table == table
         val changeSeenAt = maxOf(changeAt, from)
         val answeredAt = if (isNewer) {
             minOf(changeSeenAt, from + action.wait)
@@ -110,8 +110,10 @@
         replies = replies + Reply(table, call, at, reply)
     }
 
-    private fun version(table: StoreTable, at: Duration): Long =
-        if (table == this.table && at >= changeAt) CHANGED_VERSION else FIRST_VERSION
+    private fun version(table: StoreTable, at: Duration): StoreVersion {
+        val hasChanged = table == this.table && at >= changeAt
+        return StoreVersion(era = 0, if (hasChanged) CHANGED_VERSION else FIRST_VERSION)
+    }
 
     private companion object {
         /** The time between two looks at the replies; a node's timer fires each 20 ms. */
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/discovery/StoreCallsTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/discovery/StoreCallsTest.kt
@@ -26,7 +26,14 @@
         val calls = StoreCalls(settings)
 
         fun giveUp(feed: TableFeed): TableFeed {
-            val started = calls.follow(StoreTable.CONFIGURATION, feed, 1, Duration.ZERO, peers = 3)
+            val version = StoreVersion(era = 0, number = 1)
+            val started = calls.follow(
+                StoreTable.CONFIGURATION,
+                feed,
+                version,
+                Duration.ZERO,
+                peers = 3,
+            )
             return calls.givenUp(started.feed, started.feed.call!!)
         }
 
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/discovery/StoreDoubtTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/discovery/StoreDoubtTest.kt
@@ -10,6 +10,7 @@
 import org.bilberrycart.gateway.discovery.DiscoveryFixture.added
 import org.bilberrycart.gateway.discovery.DiscoveryFixture.changed
 import org.bilberrycart.gateway.discovery.DiscoveryFixture.check
+import org.bilberrycart.gateway.discovery.DiscoveryFixture.edition
 import org.bilberrycart.gateway.discovery.DiscoveryFixture.handle
 import org.bilberrycart.gateway.discovery.DiscoveryFixture.page
 import org.bilberrycart.gateway.discovery.DiscoveryFixture.removed
@@ -71,7 +72,11 @@
                     "is believed more than a peer whose version was disproved",
                     tooHigh + olderForLong + page("a", version = 8) +
                         TableReply.Failed("503"),
-                    last = DiscoveryEvent.PeerVersion(StoreTable.UPSTREAMS, "10.0.0.2:1", 1_000),
+                    last = DiscoveryEvent.PeerReported(
+                        StoreTable.UPSTREAMS,
+                        "10.0.0.2:1",
+                        edition(1_000),
+                    ),
                     actions = emptyList(),
                 ),
                 DiscoveryCase(
@@ -107,9 +112,9 @@
                 ),
                 PeerLeadCase("as well", 500.milliseconds, StoreTable.UPSTREAMS),
             ) { case ->
-                val filter = DiscoveryFilter()
+                val filter = DiscoveryFilter(rows = TestRows)
                 val start = 1.seconds
-                val lead = DiscoveryEvent.PeerVersion(case.table, "10.0.0.2:1", version = 9)
+                val lead = DiscoveryEvent.PeerReported(case.table, "10.0.0.2:1", edition(9))
                 val events = listOfNotNull(
                     replied(page("a"), case.table),
                     lead,
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/discovery/TableFeedTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/discovery/TableFeedTest.kt
@@ -4,6 +4,7 @@
 import io.kotest.datatest.withData
 import io.kotest.engine.names.WithDataTestName
 import io.kotest.matchers.shouldBe
+import kotlin.time.Duration
 import kotlinx.collections.immutable.toPersistentMap
 import org.bilberrycart.gateway.model.Body
 
@@ -18,10 +19,18 @@
     override fun dataTestName(): String = name
 }
 
-private fun row(key: String, version: Long) = StoreRow(key, Body.of(key), version)
+private fun version(number: Long) = StoreVersion(era = 0, number)
+
+private fun row(key: String, version: Long) = StoreRow(key, Body.of(key), version(version))
 
 private fun TableFeed.after(rows: List<StoreRow>, version: Long): TableFeed =
-    withWholeTable(rows.associateBy { it.key }.toPersistentMap(), version)
+    TableMerge(RowOrder(TestRows)).wholeTable(
+        StoreTable.UPSTREAMS,
+        feed = this,
+        rows = rows.associateBy { it.key }.toPersistentMap(),
+        version = version(version),
+        now = Duration.ZERO,
+    )
 
 class TableFeedTest :
     FunSpec({
@@ -35,7 +44,7 @@
                 LastChangeCase("the first read", emptyList(), before, 9, 7),
             ) { case ->
                 TableFeed().after(case.before, version = 7).after(case.read, case.version)
-                    .changedVersion shouldBe case.lastChange
+                    .edition!!.changedAt shouldBe version(case.lastChange)
             }
         }
     })
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/discovery/UnansweredCallTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/discovery/UnansweredCallTest.kt
@@ -108,7 +108,7 @@
 
         // Guards against a second series of calls that a late reply starts.
         test("a late reply to a call that was given up starts nothing") {
-            val filter = DiscoveryFilter()
+            val filter = DiscoveryFilter(rows = TestRows)
             val start = filter.step(DiscoveryState(), DiscoveryEvent.Start, Duration.ZERO).state
             val late = DiscoveryEvent.Replied(
                 StoreTable.CONFIGURATION,
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/peers/ConfigurationReportTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/peers/ConfigurationReportTest.kt
@@ -8,6 +8,8 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.collections.immutable.persistentSetOf
+import org.bilberrycart.gateway.discovery.StoreVersion
+import org.bilberrycart.gateway.discovery.TableEdition
 import org.bilberrycart.gateway.model.ConfigurationStatus
 
 /**
@@ -27,13 +29,16 @@
     override fun dataTestName(): String = name
 }
 
+private fun edition(configuration: Long) =
+    TableEdition(configuration, changedAt = StoreVersion(era = 0, number = configuration))
+
 private const val TABLE = "T"
 private val HEARD_AT = 10.seconds
-private val own = TableStatus(TABLE, version = 5, confirmedAt = 2.seconds)
+private val own = TableStatus(TABLE, edition(5), confirmedAt = 2.seconds)
 private val tick = PeersEvent.Tick(
     loads = emptyMap(),
     lossAges = emptyMap(),
-    tableVersions = mapOf(TABLE to 5),
+    editions = mapOf(TABLE to edition(5)),
     configuration = own,
 )
 
@@ -41,7 +46,7 @@
     sender = "a:1",
     incarnation = 1,
     sequence = 1,
-    tableVersions = mapOf(TABLE to case.version),
+    editions = mapOf(TABLE to edition(case.version)),
     configurationAge = case.age?.inWholeMilliseconds?.toInt(),
 )
 
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/peers/GossipCodecFuzzTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/peers/GossipCodecFuzzTest.kt
@@ -13,6 +13,8 @@
 import kotlinx.serialization.decodeFromByteArray
 import org.bilberrycart.fuzz.FUZZ_SEED
 import org.bilberrycart.fuzz.mutations
+import org.bilberrycart.gateway.discovery.StoreVersion
+import org.bilberrycart.gateway.discovery.TableEdition
 import org.bilberrycart.gateway.model.PartReport
 import org.bilberrycart.gateway.model.RetryUse
 
@@ -25,7 +27,7 @@
     members = listOf("b:1", "c:1"),
     loads = mapOf("u" to 2),
     lossAges = mapOf("v" to 30),
-    tableVersions = mapOf("T" to 9),
+    editions = mapOf("T" to TableEdition(7, StoreVersion(era = 8, number = 9))),
     crashes = mapOf(-3L to listOf("v")),
     retries = mapOf("s" to RetryUse(firstDispatches = 4, retries = 1)),
     parts = PartReport(
@@ -38,8 +40,11 @@
     .map(GossipCodec::encode)
 
 private val tables = listOf(
-    TableCopy(9, listOf(TableCopy.Row("k", "{}".toByteArray(), 8))),
-    TableCopy(0, emptyList()),
+    TableCopy(
+        StoreVersion(era = 1, number = 9),
+        listOf(TableCopy.Row("k", "{}".toByteArray(), StoreVersion(era = 1, number = 8))),
+    ),
+    TableCopy(StoreVersion(era = 0, number = 0), emptyList()),
 ).map(GossipCodec::encode)
 
 private typealias Decode = (ByteArray) -> GossipMessage?
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/peers/GossipCodecTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/peers/GossipCodecTest.kt
@@ -3,6 +3,8 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.datatest.withData
 import io.kotest.matchers.shouldBe
+import org.bilberrycart.gateway.discovery.StoreVersion
+import org.bilberrycart.gateway.discovery.TableEdition
 import org.bilberrycart.gateway.model.PartReport
 import org.bilberrycart.gateway.model.RetryUse
 
@@ -19,7 +21,7 @@
                 members = listOf("b:1"),
                 loads = mapOf("u" to 2),
                 lossAges = mapOf("v" to 30),
-                tableVersions = mapOf("T" to 9),
+                editions = mapOf("T" to TableEdition(7, StoreVersion(era = 8, number = 9))),
                 crashes = mapOf(-3L to listOf("v")),
                 retries = mapOf("s" to RetryUse(firstDispatches = 4, retries = 1)),
                 parts = PartReport(
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/peers/PeersFilterTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/peers/PeersFilterTest.kt
@@ -39,7 +39,7 @@
                 action.summary.partReports.flatMap { it.blockedAges.keys }
                     .takeIf { it.isNotEmpty() }?.let { "blocked $it" },
             ).joinToString(" ")
-            is PeersAction.TableVersions -> "tables"
+            is PeersAction.TableEditions -> "tables"
             is PeersAction.PeerStatusChanged -> if (action.isAlive) "alive" else "silent"
         }
 
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/peers/PeersFixture.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/peers/PeersFixture.kt
@@ -12,7 +12,7 @@
 
     /** Returns a tick with the own [loads]. */
     fun tick(loads: Map<String, Int> = emptyMap()) =
-        PeersEvent.Tick(loads, lossAges = emptyMap(), tableVersions = emptyMap())
+        PeersEvent.Tick(loads, lossAges = emptyMap(), editions = emptyMap())
 
     /** Returns a message of [sender]. */
     fun received(
