--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/model/CallHead.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/model/CallHead.kt
@@ -13,6 +13,8 @@
  * @property credential the API key that the caller presented; never forwarded.
  * @property timeLeft how long the caller waits for the answer, from arrival; null if not stated.
  * @property lastEvent the id of the last event that the caller received, if it resumes a stream.
+ * @property continuedRequest the id of the request that brought the stream's first event, if the
+ *   caller resumes a stream.
  * @property tokens the declared sizes of the prompt and the output, in tokens, if any.
  * @property sharedParts the parts of the prompt that other requests may share, in order.
  */
@@ -25,6 +27,7 @@
     val credential: String? = null,
     val timeLeft: Duration? = null,
     val lastEvent: Long? = null,
+    val continuedRequest: String? = null,
     val tokens: TokenCounts? = null,
     val sharedParts: PersistentList<PromptPartId> = persistentListOf(),
 ) {
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/model/UpstreamEntry.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/model/UpstreamEntry.kt
@@ -3,6 +3,7 @@
 /**
  * The registry entry of one upstream.
  *
+ * @property softwareVersion the version of its software, not of its model; null if unknown.
  * @property startedAtMillis when this incarnation started, in Unix milliseconds; null if unknown.
  * @property isLeaving whether it accepts no new calls.
  */
@@ -13,6 +14,7 @@
     val port: Int,
     val dataCentre: String,
     val slots: Int,
+    val softwareVersion: String? = null,
     val isLeaving: Boolean = false,
     val startedAtMillis: Long? = null,
 ) {
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DecisionLog.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DecisionLog.kt
@@ -29,12 +29,14 @@
     fun entry(action: EntryAction) = when (action) {
         is EntryAction.Forward -> log.info(
             "event=accepted request={} route={} service={} organisation={} configuration={} " +
-                "prompt_parts={}",
+                "continues={} last_event={} prompt_parts={}",
             action.call.head.requestId,
             action.call.route.name,
             action.call.service.name.value,
             action.call.organisation,
             action.version,
+            action.call.head.continuedRequest,
+            action.call.head.lastEvent,
             partsText(action.call.head),
         )
         is EntryAction.Refuse -> log.info(
@@ -224,13 +226,14 @@
     fun lifecycle(action: LifecycleAction) = log.info("event=lifecycle action=\"{}\"", action)
 
     private fun attemptSent(order: SendOrder, why: String) = log.info(
-        "event=sent request={} call={} attempt={} retry={} upstream={} backup={} resumed_run={} " +
-            "left_ms={} load={} usable={} new_connection={} why=\"{}\"",
+        "event=sent request={} call={} attempt={} retry={} upstream={} software={} backup={} " +
+            "resumed_run={} left_ms={} load={} usable={} new_connection={} why=\"{}\"",
         order.call.head.requestId,
         order.attempt.call.number,
         order.attempt.number,
         order.isRetry,
         order.upstream.id.value,
+        order.upstream.softwareVersion,
         order.backup?.id?.value,
         order.resumesFrom?.requestId,
         order.timeLeft.inWholeMilliseconds,
