Keep a stream at the software version that began it, within an answer

What callers saw: a stream that broke off at its engine went on, within the same answer, at an engine of another software version (ORDER).

Cause: an attempt was chosen among all upstreams of the service; neither the choice, nor that of the KV cache copy, nor the relay knew of software versions. Class: a choice made again in mid-work without what the first choice had fixed. The second part of it, the next try of a caller at another node, is not mended here.

A stream has an origin now. Once it has begun, only upstreams of that version are chosen, copies lie at the same version from the start, and the relay, which alone knows whether the first event has been passed on, withholds an attempt at another one. A stream ends at once when no upstream of its version is left that takes calls. An upstream found at another's address is not adopted where a service runs several versions, since its answers don't tell its own.

--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/ActiveCall.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/ActiveCall.kt
@@ -8,6 +8,7 @@
 import kotlinx.collections.immutable.persistentSetOf
 import org.bilberrycart.gateway.model.RetryRule
 import org.bilberrycart.gateway.model.RoutedCall
+import org.bilberrycart.gateway.model.StreamOrigin
 import org.bilberrycart.gateway.model.UpstreamAnswer
 import org.bilberrycart.gateway.model.UpstreamId
 
@@ -29,6 +30,7 @@
  * @property overBudgetSince since when the call waits for the retry budget; null if it does not.
  * @property rejections how many upstreams stated that they did not run the call.
  * @property rejectedAt when the last of them did; null before.
+ * @property origin where the call may be sent, if it is a stream that has begun.
  * @property isTakenFromSilent whether an attempt was given up since its upstream was silent, which
  *   may have gone on.
  */
@@ -48,6 +50,7 @@
     val overBudgetSince: Duration? = null,
     val rejections: Int = 0,
     val rejectedAt: Duration? = null,
+    val origin: StreamOrigin = StreamOrigin.NotBegun,
     val isTakenFromSilent: Boolean = false,
 ) {
     /** Whether the call has no attempt in progress and waits for an upstream. */
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/Attempt.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/Attempt.kt
@@ -10,6 +10,7 @@
  * @property headAt when the head of its answer was received; null before.
  * @property hasEvents whether an event of its stream has been received.
  * @property isRetry whether it was counted as a retry in the retry budget.
+ * @property softwareVersion the version of the upstream's software; null if unknown.
  * @property backup the upstream that receives a copy of its KV cache, if any.
  */
 public data class Attempt(
@@ -20,5 +21,6 @@
     val headAt: Duration? = null,
     val hasEvents: Boolean = false,
     val isRetry: Boolean = false,
+    val softwareVersion: String? = null,
     val backup: UpstreamId? = null,
 )
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/CallPlacement.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/CallPlacement.kt
@@ -69,7 +69,7 @@
      * call would end for want of an attempt, of the retry budget or of an upstream.
      */
     fun canPlace(state: PlacementState, call: ActiveCall, now: Duration): Boolean {
-        val selector = LeastLoadedSelector(state, call.call.service.name, now)
+        val selector = selector(state, call, now)
         return call.hasAttemptsLeft &&
             state.mayStart(call, now) &&
             state.parts.blockedAmong(call.call.head.sharedParts, now) == null &&
@@ -152,7 +152,7 @@
         call: ActiveCall,
         now: Duration,
     ): Step<PlacementState, PlacementAction> {
-        val choice = LeastLoadedSelector(state, call.call.service.name, now).choose(call)
+        val choice = selector(state, call, now).choose(call)
         val mayHedge = call.hasAttemptsLeft &&
             retryBudgets.allows(state, call, now) &&
             choice != null &&
@@ -160,14 +160,18 @@
         return if (mayHedge) dispatch(state, call, now, "hedge") else Step(state)
     }
 
+    private fun selector(state: PlacementState, call: ActiveCall, now: Duration) =
+        LeastLoadedSelector(state, call.call.service.name, now, call.origin)
+
     private fun dispatch(
         state: PlacementState,
         call: ActiveCall,
         now: Duration,
         why: String,
     ): Step<PlacementState, PlacementAction> {
-        val selector = LeastLoadedSelector(state, call.call.service.name, now)
+        val selector = selector(state, call, now)
         val holder = selector.copyHolder(call.kvCacheCopy)
+        if (selector.hasNoneOfVersion) return failWithoutVersion(state, call, now, why)
         val isUntried = holder != null || selector.hasUntried(call)
         if (call.isStreamOpen && !isUntried && call.isBackingOff(now)) return Step(state)
         val main = holder ?: selector.choose(call)
@@ -181,6 +185,7 @@
             upstream = main.entry.id,
             sentAt = now,
             isRetry = call.possibleArrivals > 0,
+            softwareVersion = main.entry.softwareVersion,
             backup = backup?.entry?.id,
         )
         val order = SendOrder(
@@ -213,7 +218,22 @@
         return Step(next, persistentListOf(PlacementAction.Send(order, why)))
     }
 
+    /** Ends [call], a stream that no upstream of its software version is left to go on with. */
+    private fun failWithoutVersion(
+        state: PlacementState,
+        call: ActiveCall,
+        now: Duration,
+        why: String,
+    ): Step<PlacementState, PlacementAction> = CallCompletion.fail(
+        state,
+        call,
+        "no upstream of the stream's software version is left, $why",
+        now,
+        retryAfter = NO_VERSION_RETRY_AFTER,
+    )
+
     private companion object {
+        val NO_VERSION_RETRY_AFTER = 5.seconds
         val SUSPECT_RETRY_AFTER = 30.seconds
         val MIN_RETRY_AFTER = 250.milliseconds
         val MAX_RETRY_AFTER = 30.seconds
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/LeastLoadedSelector.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/LeastLoadedSelector.kt
@@ -6,21 +6,37 @@
 import org.bilberrycart.gateway.model.CallFingerprint
 import org.bilberrycart.gateway.model.RoutedCall
 import org.bilberrycart.gateway.model.ServiceName
+import org.bilberrycart.gateway.model.StreamOrigin
 import org.bilberrycart.gateway.model.UpstreamId
 
-/** Selects the least loaded usable upstream for a call, or for the backup of its KV cache. */
+/**
+ * Selects the least loaded usable upstream for a call, or for the backup of its KV cache.
+ *
+ * @property origin where the call may be sent, if it is a stream that has begun.
+ */
 internal class LeastLoadedSelector(
     private val state: PlacementState,
     private val service: ServiceName,
     private val now: Duration,
+    private val origin: StreamOrigin = StreamOrigin.NotBegun,
 ) {
     private val random = Random(state.seed)
     private val loads = state.loads()
 
-    private val available: List<UpstreamView> = state.upstreams.values.filter {
-        it.entry.service == service && it.isUsable(now)
+    /** The upstreams of the service that the call may be sent to now or later. */
+    private val listed: List<UpstreamView> = state.upstreams.values.filter {
+        it.entry.service == service &&
+            !it.isLeaving &&
+            !it.isReplaced &&
+            origin.allows(it.entry.softwareVersion)
     }
 
+    private val available: List<UpstreamView> = listed.filter { it.isUsable(now) }
+
+    /** Whether a stream that has begun can't go on, since no upstream of its version is left. */
+    val hasNoneOfVersion: Boolean
+        get() = origin is StreamOrigin.BegunAt && listed.isEmpty()
+
     /** The upstreams of the service that may be selected. */
     val usable: List<UpstreamView> = available.filter { state.quotaWait(it, now) == ZERO }
 
@@ -30,12 +46,9 @@
      * moment counts too.
      */
     fun quotaWait(ahead: Int): Duration? {
-        val known = state.upstreams.values.filter {
-            it.entry.service == service && !it.isLeaving && !it.isReplaced
-        }
-        val first = known.minOfOrNull { maxOf(state.quotaWait(it, now), it.pauseLeft(now)) }
+        val first = listed.minOfOrNull { maxOf(state.quotaWait(it, now), it.pauseLeft(now)) }
             ?: return null
-        val rate = known.sumOf { view ->
+        val rate = listed.sumOf { view ->
             view.rateLimit?.let { state.quota(view, it.perSecond).perSecond } ?: 0.0
         }
         return if (ahead == 0 ||
@@ -69,18 +82,25 @@
 
     /**
      * Returns the upstream that shall back up the KV cache of a generation at [main], preferably in
-     * another data centre; null if the engines support no backups or no other one is usable.
+     * another data centre; null if the engines support no backups or no other one of the same
+     * software version is usable.
      */
     fun chooseBackup(call: RoutedCall, main: UpstreamView): UpstreamView? {
         if (call.service.engine?.supportsBackups != true) return null
-        val others = available.filterNot { it.entry.id == main.entry.id }
+        val others = available.filter {
+            it.entry.id != main.entry.id && it.entry.softwareVersion == main.entry.softwareVersion
+        }
         val inOtherDataCentres = others.filterNot { it.entry.dataCentre == main.entry.dataCentre }
         return leastLoaded(inOtherDataCentres.ifEmpty { others }, isEngine = true)
     }
 
     /** Returns the upstream that holds [copy], if it is up. */
     fun copyHolder(copy: KvCacheCopy?): UpstreamView? = copy?.let { state.upstreams[it.holder] }
-        ?.takeIf { it.isUp(now) && state.quotaWait(it, now) == ZERO }
+        ?.takeIf {
+            it.isUp(now) &&
+                state.quotaWait(it, now) == ZERO &&
+                origin.allows(it.entry.softwareVersion)
+        }
 
     private fun leastLoaded(views: List<UpstreamView>, isEngine: Boolean): UpstreamView? =
         views.minByOrNull { view ->
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/LossRecovery.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/LossRecovery.kt
@@ -23,16 +23,38 @@
     ): Step<PlacementState, PlacementAction> {
         val call = state.calls[key.call] ?: return Step(state)
         val attempt = call.attempts[key.number] ?: return Step(state)
-        return markDown(state, attempt.upstream, cause, now).then { next ->
-            val remaining = call.copy(
-                attempts = call.attempts.remove(attempt.number),
-                possibleArrivals = call.possibleArrivals - 1,
-                possibleRuns = call.possibleRuns - 1,
-            )
-            val counted = next.withAttemptCounted(attempt, -1)
-            val refunded = retryBudgets.refund(counted, remaining, attempt)
-            continueCall(refunded, remaining, now, "unsent, $cause")
-        }
+        return markDown(state, attempt.upstream, cause, now)
+            .then { withdraw(it, call, attempt, now, "unsent, $cause") }
+    }
+
+    /** Sends a stream to an upstream of the software version that has begun it meanwhile. */
+    fun begunElsewhere(
+        state: PlacementState,
+        event: PlacementEvent.BegunElsewhere,
+        now: Duration,
+    ): Step<PlacementState, PlacementAction> {
+        val call = state.calls[event.attempt.call] ?: return Step(state)
+        val attempt = call.attempts[event.attempt.number] ?: return Step(state)
+        val begun = call.copy(origin = event.origin)
+        return withdraw(state, begun, attempt, now, "begun at another software version")
+    }
+
+    /** Takes back [attempt], of which nothing was sent, and places [call] again. */
+    private fun withdraw(
+        state: PlacementState,
+        call: ActiveCall,
+        attempt: Attempt,
+        now: Duration,
+        why: String,
+    ): Step<PlacementState, PlacementAction> {
+        val remaining = call.copy(
+            attempts = call.attempts.remove(attempt.number),
+            possibleArrivals = call.possibleArrivals - 1,
+            possibleRuns = call.possibleRuns - 1,
+        )
+        val counted = state.withAttemptCounted(attempt, -1)
+        val refunded = retryBudgets.refund(counted, remaining, attempt)
+        return continueCall(refunded, remaining, now, why)
     }
 
     /** Retries or fails the call after attempt [key] failed; the attempt may have run. */
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementEvent.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementEvent.kt
@@ -13,6 +13,7 @@
 import org.bilberrycart.gateway.model.RetryUse
 import org.bilberrycart.gateway.model.RoutedCall
 import org.bilberrycart.gateway.model.ServiceName
+import org.bilberrycart.gateway.model.StreamOrigin
 import org.bilberrycart.gateway.model.UpstreamAnswer
 import org.bilberrycart.gateway.model.UpstreamEntry
 import org.bilberrycart.gateway.model.UpstreamId
@@ -45,6 +46,13 @@
     /** An event of a stream went to the caller. */
     public data class StreamProgressed(val attempt: AttemptKey) : PlacementEvent()
 
+    /**
+     * The relay has not sent [attempt], since the stream had meanwhile begun at an upstream of
+     * another software version, as [origin] says.
+     */
+    public data class BegunElsewhere(val attempt: AttemptKey, val origin: StreamOrigin.BegunAt) :
+        PlacementEvent()
+
     /** All events of a stream went to the caller. */
     public data class StreamCompleted(val attempt: AttemptKey) : PlacementEvent()
 
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementFilter.kt
@@ -4,6 +4,7 @@
 import kotlinx.collections.immutable.toPersistentList
 import org.bilberrycart.gateway.model.AttemptKey
 import org.bilberrycart.gateway.model.CallFingerprint
+import org.bilberrycart.gateway.model.StreamOrigin
 import org.bilberrycart.pipeline.Filter
 import org.bilberrycart.pipeline.Step
 import org.bilberrycart.pipeline.then
@@ -38,6 +39,7 @@
                 .then { streamProgressed(it, event.attempt, now, hasEvents = false) }
         is PlacementEvent.StreamProgressed ->
             streamProgressed(state, event.attempt, now, hasEvents = true)
+        is PlacementEvent.BegunElsewhere -> lossRecovery.begunElsewhere(state, event, now)
         is PlacementEvent.StreamCompleted -> streamCompleted(state, event.attempt, now)
         is PlacementEvent.UpstreamsListed ->
             UpstreamRegistry.applyListing(state, event.entries, now)
@@ -132,6 +134,11 @@
         val next = call.copy(
             attempts = call.attempts.put(key.number, updatedAttempt),
             isStreamOpen = true,
+            origin = when {
+                isFirst && call.origin == StreamOrigin.NotBegun ->
+                    StreamOrigin.BegunAt(attempt.softwareVersion)
+                else -> call.origin
+            },
             silentSince = if (hasEvents) null else call.silentSince,
         )
         return Step(
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/UpstreamRegistry.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/UpstreamRegistry.kt
@@ -5,6 +5,7 @@
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.plus
 import kotlinx.collections.immutable.toPersistentList
+import org.bilberrycart.gateway.model.ServiceName
 import org.bilberrycart.gateway.model.UpstreamEntry
 import org.bilberrycart.gateway.model.UpstreamId
 import org.bilberrycart.pipeline.Step
@@ -34,7 +35,10 @@
         return Step(removeUpstreams(kept, gone), statusChanges(state, entries) + departures(gone))
     }
 
-    /** Adopts an upstream that answered at the address of another, if it has the same service. */
+    /**
+     * Adopts an upstream that answered at the address of another, if it has the same service and
+     * that service has one software version only, since its answer doesn't tell its own.
+     */
     fun applyIdentification(
         state: PlacementState,
         event: PlacementEvent.Identified,
@@ -49,6 +53,9 @@
                     "service ${event.service?.value}",
                 ),
             )
+            hasSeveralVersions(state, replaced.service) -> state.withActions(
+                PlacementAction.UpstreamStatusChanged(event.id, "unknown", "software version"),
+            )
             else -> {
                 val entry = replaced.copy(
                     id = event.id,
@@ -68,6 +75,11 @@
         }
     }
 
+    /** Whether the upstreams of [service] run several versions of their software. */
+    private fun hasSeveralVersions(state: PlacementState, service: ServiceName): Boolean =
+        state.upstreams.values.filter { it.entry.service == service }
+            .map { it.entry.softwareVersion }.distinct().size > 1
+
     /** Drops adopted upstreams that the registry has not listed within the grace period. */
     fun removeExpired(state: PlacementState, now: Duration): Step<PlacementState, PlacementAction> {
         val gone = state.upstreams.values.filter { view ->
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/relay/RelayFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/relay/RelayFilter.kt
@@ -4,6 +4,7 @@
 import kotlinx.collections.immutable.persistentListOf
 import org.bilberrycart.gateway.model.AttemptKey
 import org.bilberrycart.gateway.model.Body
+import org.bilberrycart.gateway.model.StreamOrigin
 import org.bilberrycart.gateway.placement.PlacementEvent
 import org.bilberrycart.pipeline.Filter
 import org.bilberrycart.pipeline.Step
@@ -31,18 +32,26 @@
     }
 
     private fun begin(state: RelayState, event: RelayEvent.Begin): Step<RelayState, RelayAction> {
-        val key = event.order.attempt.call
-        val stream = state.streams[key]?.copy(
-            currentAttempt = event.order.attempt,
+        val order = event.order
+        val known = state.streams[order.attempt.call]
+        val origin = known?.origin
+        // Placement may have chosen before it heard of the stream's first event.
+        if (origin is StreamOrigin.BegunAt && !origin.allows(order.upstream.softwareVersion)) {
+            val report = PlacementEvent.BegunElsewhere(order.attempt, origin)
+            return state.withActions(RelayAction.Report(report))
+        }
+        val stream = known?.copy(
+            currentAttempt = order.attempt,
             partialEvent = Body.EMPTY,
             mustBringEvent = false,
         )
             ?: RelayedStream(
-                currentAttempt = event.order.attempt,
-                call = event.order.call,
-                lastEvent = event.order.call.head.lastEvent,
+                currentAttempt = order.attempt,
+                call = order.call,
+                lastEvent = order.call.head.lastEvent,
             )
-        return state.with(stream).withActions(RelayAction.Send(event.order, stream.lastEvent))
+        val next = stream.copy(softwareVersion = order.upstream.softwareVersion)
+        return state.with(next).withActions(RelayAction.Send(order, stream.lastEvent))
     }
 
     private fun opened(state: RelayState, event: RelayEvent.Opened): Step<RelayState, RelayAction> {
@@ -83,7 +92,11 @@
                 reportBroken(event.attempt, "events ${frames.ids} behind ${stream.lastEvent}"),
             )
             else -> state.with(
-                next.copy(lastEvent = frames.ids.last(), mustBringEvent = false),
+                next.copy(
+                    lastEvent = frames.ids.last(),
+                    mustBringEvent = false,
+                    origin = StreamOrigin.BegunAt(next.softwareVersion),
+                ),
             ).withActions(
                 RelayAction.Write(event.attempt, frames.completeEvents),
                 RelayAction.Report(PlacementEvent.StreamProgressed(event.attempt)),
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/relay/RelayedStream.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/relay/RelayedStream.kt
@@ -3,6 +3,7 @@
 import org.bilberrycart.gateway.model.AttemptKey
 import org.bilberrycart.gateway.model.Body
 import org.bilberrycart.gateway.model.RoutedCall
+import org.bilberrycart.gateway.model.StreamOrigin
 
 /**
  * A stream that is being forwarded to a caller.
@@ -13,6 +14,8 @@
  * @property mustBringEvent whether an end of [currentAttempt] before its first event is no end of
  *   the stream: its answer ends with its connection, so that the end can't be told from a crash, or
  *   it is to go on with a stream that has begun, of which an empty answer tells nothing.
+ * @property softwareVersion the version of the software at the upstream of [currentAttempt].
+ * @property origin where the stream may go on.
  * @property isOpen whether the head of the answer was sent to the caller.
  */
 public data class RelayedStream(
@@ -21,5 +24,7 @@
     val lastEvent: Long?,
     val partialEvent: Body = Body.EMPTY,
     val mustBringEvent: Boolean = false,
+    val softwareVersion: String? = null,
+    val origin: StreamOrigin = StreamOrigin.NotBegun,
     val isOpen: Boolean = false,
 )
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/Samples.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/Samples.kt
@@ -78,17 +78,23 @@
         callerDeadline = arrivedAt + route.timeout,
     )
 
-    fun entry(id: String, dataCentre: String = "east", isLeaving: Boolean = false, born: Long = 1) =
-        UpstreamEntry(
-            id = UpstreamId(id),
-            service = desk,
-            host = "10.0.0.1",
-            port = 80,
-            dataCentre = dataCentre,
-            slots = 8,
-            isLeaving = isLeaving,
-            startedAtMillis = born,
-        )
+    fun entry(
+        id: String,
+        dataCentre: String = "east",
+        isLeaving: Boolean = false,
+        born: Long = 1,
+        softwareVersion: String? = null,
+    ) = UpstreamEntry(
+        id = UpstreamId(id),
+        service = desk,
+        host = "10.0.0.1",
+        port = 80,
+        dataCentre = dataCentre,
+        slots = 8,
+        softwareVersion = softwareVersion,
+        isLeaving = isLeaving,
+        startedAtMillis = born,
+    )
 
     fun answer(
         status: Int,
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/relay/RelayFilterTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/relay/RelayFilterTest.kt
@@ -25,11 +25,11 @@
 
 private fun key(number: Int) = AttemptKey(CallKey(1), number)
 
-private fun begin(number: Int) = RelayEvent.Begin(
+private fun begin(number: Int, softwareVersion: String? = null) = RelayEvent.Begin(
     SendOrder(
         attempt = key(number),
         call = Samples.call(Samples.route(RetryRule.Stream(true))),
-        upstream = Samples.entry("a"),
+        upstream = Samples.entry("a", softwareVersion = softwareVersion),
         timeLeft = 1.seconds,
     ),
 )
@@ -70,6 +70,32 @@
 
         val running = listOf(begin(1), opened(1))
 
+        // Guards against a stream whose first event arrives as it is sent elsewhere (ORDER).
+        context("an attempt at another software version") {
+            val begun = listOf(begin(1, "v1"), opened(1), chunk(1, event(1)))
+            withData(
+                RelayCase("is not sent", begun, begin(2, "v2"), listOf("BegunElsewhere")),
+                RelayCase(
+                    "does not end the one before",
+                    begun + begin(2, "v2"),
+                    chunk(1, event(2)),
+                    listOf("write ${event(2)}", "StreamProgressed"),
+                ),
+                RelayCase(
+                    "is sent if it is the same",
+                    begun,
+                    begin(2, "v1"),
+                    listOf("send 2 after 1"),
+                ),
+                RelayCase(
+                    "is sent before the first event",
+                    listOf(begin(1, "v1"), opened(1)),
+                    begin(2, "v2"),
+                    listOf("send 2 after null"),
+                ),
+            ) { check(it) }
+        }
+
         context("only complete events are forwarded") {
             withData(
                 RelayCase(
