Let callers take a stream up only at the software version that began it

What callers saw: a stream that had broken off with its node was taken up at another one, answered 200 and ended, joined from two software versions (ORDER). Most often after all nodes had been killed at once.

Cause: to the node, a caller's next try was a new request; nothing that outlives a node said at which version the first try had begun. Class: a choice that binds later requests is kept only in the process that made it.

A new duty, origins, knows where streams began. With one version of a service that is the version, and costs one call of the store a node. While several serve, and for 40 s after that, each node records its streams in the store, several at a time, before their first events; streams that were sent before are recorded as soon as a second version is listed. A stream that no record names began at the version that was alone before. Placement asks for the origin of each stream that is taken up; one whose version is unknown, or has no upstream left, is rejected at once, with 503, which is true.

OriginsFilterTest (18 cases), TakenUpStreamTest, SoftwareVersionTest and the cases of PlatformStoreTest hold.

--- a/daemon/src/main/kotlin/org/bilberrycart/daemon/FrontMain.kt
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/FrontMain.kt
@@ -49,7 +49,7 @@
     val store =
         PlatformStore(HttpClients.start("store", STORE_IDLE_TIMEOUT)) { watch.current.store }
     val node = try {
-        GatewayNode(settings, PlatformProtocol(), store, PlatformRows(), ::haltProcess)
+        GatewayNode(settings, PlatformProtocol(), store, PlatformRows(), store, ::haltProcess)
             .also { started.complete(it) }
             .also { it.start() }
     } catch (e: IOException) {
--- a/daemon/src/main/kotlin/org/bilberrycart/daemon/RehearsalMain.kt
+++ b/daemon/src/main/kotlin/org/bilberrycart/daemon/RehearsalMain.kt
@@ -66,7 +66,7 @@
     RehearsalPlatform(InetSocketAddress("127.0.0.1", STORE_PORT)).start()
     val settings = startNode()
     val store = PlatformStore(HttpClients.start("peer-store", CLIENT_IDLE)) { settings.store }
-    GatewayNode(peerOf(settings), PlatformProtocol(), store, PlatformRows()).start()
+    GatewayNode(peerOf(settings), PlatformProtocol(), store, PlatformRows(), store).start()
     val isReady = generateSequence { isReady(client, settings) }.take(READY_ATTEMPTS).any { it }
     check(isReady) { "the node of the rehearsal does not become ready" }
     return settings
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DecisionLog.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DecisionLog.kt
@@ -9,6 +9,7 @@
 import org.bilberrycart.gateway.lifecycle.LifecycleAction
 import org.bilberrycart.gateway.model.CallHead
 import org.bilberrycart.gateway.model.RoutedCall
+import org.bilberrycart.gateway.origins.OriginsAction
 import org.bilberrycart.gateway.peers.PeersAction
 import org.bilberrycart.gateway.placement.ActiveCall
 import org.bilberrycart.gateway.placement.PlacementAction
@@ -81,14 +82,7 @@
         )
         is PlacementAction.Abort -> callEnded(action.call, "broken_off", action.why, now)
         is PlacementAction.Forget -> callEnded(action.call, "ended", action.why, now)
-        is PlacementAction.Resumed -> log.info(
-            "event=stream_resumed request={} call={} attempt={} upstream={} pause_ms={}",
-            action.call.call.head.requestId,
-            action.call.call.key.number,
-            action.attempt.number,
-            action.attempt.upstream.value,
-            action.pause.inWholeMilliseconds,
-        )
+        is PlacementAction.Resumed -> streamResumed(action)
         is PlacementAction.RetryRefused -> log.info(
             "event=retry_refused request={} call={} service={} why=\"{}\"",
             action.call.call.head.requestId,
@@ -100,6 +94,7 @@
         is PlacementAction.PartBlocked -> partBlocked(action)
         is PlacementAction.PartReleased ->
             log.info("event=prompt_part_released part={}", action.part.value)
+        is PlacementAction.SeekOrigin -> streamTakenUp(action)
         is PlacementAction.Probe -> log.info(
             "event=probe upstream={} silent_ms={}",
             action.upstream.id.value,
@@ -118,6 +113,23 @@
         )
     }
 
+    private fun streamResumed(action: PlacementAction.Resumed) = log.info(
+        "event=stream_resumed request={} call={} attempt={} upstream={} pause_ms={}",
+        action.call.call.head.requestId,
+        action.call.call.key.number,
+        action.attempt.number,
+        action.attempt.upstream.value,
+        action.pause.inWholeMilliseconds,
+    )
+
+    private fun streamTakenUp(action: PlacementAction.SeekOrigin) = log.info(
+        "event=stream_taken_up request={} call={} continues={} last_event={}",
+        action.call.call.head.requestId,
+        action.call.call.key.number,
+        action.call.call.head.continuedRequest,
+        action.call.call.head.lastEvent,
+    )
+
     private fun crashRecorded(action: PlacementAction.CrashRecorded) = log.info(
         "event=broke_off_at_start request={} call={} upstream={} crashed_upstreams={} " +
             "had_head={} prompt_parts={}",
@@ -223,6 +235,20 @@
         action.calls.take(MAX_LOGGED_CALLS).map { it.number },
     )
 
+    fun originFound(action: OriginsAction.Found) = log.info(
+        "event=stream_origin call={} origin={}",
+        action.call.number,
+        action.origin,
+    )
+
+    fun recordingChanged(action: OriginsAction.RecordingChanged) = log.info(
+        "event=stream_recording_{}",
+        if (action.isRecording) "begun" else "ended",
+    )
+
+    fun recordCallFailed(call: String, cause: String) =
+        log.warn("event=stream_records_failed call={} cause=\"{}\"", call, cause)
+
     fun lifecycle(action: LifecycleAction) = log.info("event=lifecycle action=\"{}\"", action)
 
     private fun attemptSent(order: SendOrder, why: String) = log.info(
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DiscoverySink.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DiscoverySink.kt
@@ -2,6 +2,8 @@
 
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
+import kotlinx.collections.immutable.toPersistentMap
+import kotlinx.collections.immutable.toPersistentSet
 import org.bilberrycart.gateway.discovery.ConfigurationRow
 import org.bilberrycart.gateway.discovery.DiscoveryAction
 import org.bilberrycart.gateway.discovery.DiscoveryEvent
@@ -15,6 +17,7 @@
 import org.bilberrycart.gateway.http.summary
 import org.bilberrycart.gateway.lifecycle.LifecycleEvent
 import org.bilberrycart.gateway.metrics.GatewayMetrics
+import org.bilberrycart.gateway.origins.OriginsEvent
 import org.bilberrycart.gateway.placement.PlacementEvent
 import org.eclipse.jetty.util.thread.Scheduler
 
@@ -96,6 +99,13 @@
         ConfigurationRow.Other -> Unit
     }
 
+    private fun versionsListed() = OriginsEvent.VersionsListed(
+        upstreams.entries.groupBy { it.service }
+            .mapValues { (_, entries) ->
+                entries.mapNotNull { it.softwareVersion }.toPersistentSet()
+            }.toPersistentMap(),
+    )
+
     private fun publish(action: DiscoveryAction.Publish) {
         when (action.table) {
             StoreTable.CONFIGURATION -> {
@@ -104,6 +114,7 @@
             }
             StoreTable.UPSTREAMS -> {
                 upstreams = upstreams.updated(action.rows, rows)
+                rings.origins.put(versionsListed())
                 rings.placement.put(PlacementEvent.UpstreamsListed(upstreams.entries))
                 log.tableRead(action, upstreams.unreadable)
                 metrics.rowsUnreadable(action.table.name, upstreams.unreadable.size)
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/GatewayNode.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/GatewayNode.kt
@@ -29,6 +29,7 @@
 import org.bilberrycart.gateway.metrics.ServiceRetryUse
 import org.bilberrycart.gateway.model.RequestLimits
 import org.bilberrycart.gateway.model.RetryUse
+import org.bilberrycart.gateway.origins.RecordStore
 import org.bilberrycart.gateway.placement.PlacementEvent
 import org.bilberrycart.gateway.placement.PlacementFilter
 import org.bilberrycart.gateway.placement.PlacementSettings
@@ -51,6 +52,7 @@
     protocol: CallProtocol,
     store: StoreClient,
     rows: RowReader,
+    records: RecordStore,
     private val onFailed: () -> Unit = {},
 ) : AutoCloseable {
     private val clock = Clock()
@@ -165,6 +167,15 @@
         clock,
         placementState = { placement.snapshot },
     )
+    private val streamOrigins = StreamOrigins(
+        settings,
+        rings,
+        duties,
+        records,
+        metrics,
+        log,
+        peers = { discovery.snapshot.peers },
+    )
     private val idlePeriods = IdlePeriods(IDLE_TICKS)
     private val ticker = Ticker(
         TICK,
@@ -179,6 +190,7 @@
             ) { DiscoveryEvent.Tick },
             peerLinks.tickTarget,
             exchangeWatch.tickTarget,
+            streamOrigins.tickTarget,
         ),
         onEnded = { onThreadEnded("timer") },
     )
@@ -218,6 +230,7 @@
         listOf(entry, placement, relay, discovery, lifecycle).forEach { it.start() }
         peerLinks.start()
         exchangeWatch.start()
+        streamOrigins.start()
         rings.discovery.put(DiscoveryEvent.Start)
         ticker.start()
         httpServer.start()
@@ -242,6 +255,7 @@
         rings.close()
         peerLinks.close()
         exchangeWatch.close()
+        streamOrigins.close()
         listOf(entry, placement, relay, discovery, lifecycle).forEach { it.close() }
         storeScheduler.stop()
         client.stop()
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/GatewayRings.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/GatewayRings.kt
@@ -3,6 +3,7 @@
 import org.bilberrycart.gateway.discovery.DiscoveryEvent
 import org.bilberrycart.gateway.entry.EntryEvent
 import org.bilberrycart.gateway.lifecycle.LifecycleEvent
+import org.bilberrycart.gateway.origins.OriginsEvent
 import org.bilberrycart.gateway.placement.PlacementEvent
 import org.bilberrycart.gateway.relay.RelayEvent
 import org.bilberrycart.pipeline.Ring
@@ -24,8 +25,9 @@
     val relay = Ring<RelayEvent>("relay", RELAY_CAPACITY)
     val discovery = Ring<DiscoveryEvent>("discovery", CONTROL_CAPACITY)
     val lifecycle = Ring<LifecycleEvent>("lifecycle", CONTROL_CAPACITY, CONTROL_RESERVE)
+    val origins = Ring<OriginsEvent>("origins", ORIGINS_CAPACITY)
 
-    private val all = listOf(entry, placement, relay, discovery, lifecycle)
+    private val all = listOf(entry, placement, relay, discovery, lifecycle, origins)
 
     /** Returns the statistics of each ring. */
     fun stats() = all.map { it.stats() }
@@ -49,6 +51,7 @@
         private const val ENTRY_CAPACITY = 3_072 + ENTRY_RESERVE
         private const val PLACEMENT_RESERVE = EVENTS_PER_CALL * MAX_OPEN_CALLS
         private const val PLACEMENT_CAPACITY = 16_384 + PLACEMENT_RESERVE
+        private const val ORIGINS_CAPACITY = EVENTS_PER_CALL * MAX_OPEN_CALLS
         private const val RELAY_CAPACITY = EVENTS_PER_CALL * MAX_OPEN_CALLS
     }
 }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/PlacementSink.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/PlacementSink.kt
@@ -4,7 +4,10 @@
 import org.bilberrycart.gateway.http.OpenExchanges
 import org.bilberrycart.gateway.http.UpstreamClient
 import org.bilberrycart.gateway.metrics.GatewayMetrics
+import org.bilberrycart.gateway.model.RetryRule
 import org.bilberrycart.gateway.model.ServingConfiguration
+import org.bilberrycart.gateway.model.StreamOrigin
+import org.bilberrycart.gateway.origins.OriginsEvent
 import org.bilberrycart.gateway.placement.ActiveCall
 import org.bilberrycart.gateway.placement.PlacementAction
 import org.bilberrycart.gateway.placement.PlacementEvent
@@ -26,7 +29,15 @@
         log.placement(action, clock.now())
         count(action)
         when (action) {
-            is PlacementAction.Send -> rings.relay.put(RelayEvent.Begin(action.order))
+            is PlacementAction.Send -> {
+                noteOrigin(action)
+                rings.relay.put(RelayEvent.Begin(action.order))
+            }
+            is PlacementAction.SeekOrigin -> {
+                val call = action.call.call
+                val begun = call.head.continuedRequest
+                rings.origins.put(OriginsEvent.Sought(call.key, begun, call.service.name))
+            }
             is PlacementAction.Cancel ->
                 rings.relay.put(RelayEvent.Cancel(action.attempt, action.why))
             is PlacementAction.Deliver -> {
@@ -52,6 +63,17 @@
         }
     }
 
+    /** Tells where a stream from its start is sent, which another node may go on with. */
+    private fun noteOrigin(action: PlacementAction.Send) {
+        val order = action.order
+        val isStream = order.call.route.retryRule is RetryRule.Stream
+        if (!isStream || order.call.head.lastEvent != null) return
+        val begun = order.origin as? StreamOrigin.BegunAt
+        val version = if (begun == null) order.upstream.softwareVersion else begun.softwareVersion
+        val service = order.call.service.name
+        rings.origins.put(OriginsEvent.Sent(order.call.head.requestId, service, version))
+    }
+
     private fun identify(action: PlacementAction.Identify) {
         upstreams.identify(action.replaced, probeTimeout) { report ->
             val service = report?.let { configuration()?.serviceOf(it.models) }
@@ -92,6 +114,7 @@
         is PlacementAction.CrashRecorded -> metrics.statusChanged("call", "broke_off_at_start")
         is PlacementAction.PartBlocked -> metrics.statusChanged("prompt_part", "blocked")
         is PlacementAction.PartReleased -> metrics.statusChanged("prompt_part", "released")
+        is PlacementAction.SeekOrigin -> metrics.statusChanged("stream", "taken_up")
         is PlacementAction.Cancel -> Unit
     }
 
--- /dev/null
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/origins/OriginsAction.kt
@@ -0,0 +1,23 @@
+package org.bilberrycart.gateway.origins
+
+import org.bilberrycart.gateway.model.CallKey
+import org.bilberrycart.gateway.model.StreamOrigin
+
+/** The actions that the origins filter requests. */
+public sealed class OriginsAction {
+    /**
+     * Reads, in the call with number [call], a page of the records from key [from] or, if that is
+     * null, from the start.
+     */
+    public data class Read(val call: Long, val from: String?) : OriginsAction()
+
+    /** Writes [puts], in the call with number [call], and removes the keys [removals]. */
+    public data class Write(val call: Long, val puts: List<Record>, val removals: List<String>) :
+        OriginsAction()
+
+    /** Tells placement where the stream that [call] resumes may go on; null if nobody knows. */
+    public data class Found(val call: CallKey, val origin: StreamOrigin?) : OriginsAction()
+
+    /** Reports that nodes begin, or cease, to record where streams begin. */
+    public data class RecordingChanged(val isRecording: Boolean) : OriginsAction()
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/origins/RecordStore.kt
@@ -0,0 +1,40 @@
+package org.bilberrycart.gateway.origins
+
+import kotlinx.collections.immutable.PersistentList
+import org.bilberrycart.gateway.model.Body
+
+/** A row of the table in which nodes keep what has to survive them. */
+public data class Record(val key: String, val value: Body)
+
+/** The outcome of a call to a [RecordStore]. */
+public sealed class RecordReply {
+    /**
+     * A page of the records at [storeMillis], a steady clock of the store.
+     *
+     * @property next the key at which the next page begins; null on the last page.
+     */
+    public data class Page(
+        val records: PersistentList<Record>,
+        val storeMillis: Long,
+        val next: String?,
+    ) : RecordReply()
+
+    /** The records were written at [storeMillis], a steady clock of the store. */
+    public data class Written(val storeMillis: Long) : RecordReply()
+
+    /** The call failed because of [cause]; what it was to write may be written all the same. */
+    public data class Failed(val cause: String) : RecordReply()
+}
+
+/** The calls about records to the store. Each is answered once, on any thread. */
+public interface RecordStore {
+    /** Reads a page of the records from key [from] or, if that is null, from the start. */
+    public fun readRecords(from: String?, reply: (RecordReply) -> Unit)
+
+    /** Writes [puts] and removes the records with the keys [removals], all or none. */
+    public fun writeRecords(
+        puts: List<Record>,
+        removals: List<String>,
+        reply: (RecordReply) -> Unit,
+    )
+}
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/ActiveCall.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/ActiveCall.kt
@@ -57,6 +57,13 @@
     public val isWaiting: Boolean
         get() = attempts.isEmpty()
 
+    /** Whether its caller resumes a stream that began with an earlier request. */
+    public val isTakenUp: Boolean
+        get() = when (call.route.retryRule) {
+            is RetryRule.Stream -> call.head.lastEvent != null
+            RetryRule.Idempotent, RetryRule.AtMostOnce -> false
+        }
+
     /**
      * Whether the attempt limit of the route allows one more dispatch.
      *
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/CallPlacement.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/CallPlacement.kt
@@ -199,6 +199,7 @@
             usableUpstreams = selector.usable.size,
             isRetry = attempt.isRetry,
             isUrgent = call.isStreamOpen,
+            origin = call.origin,
             needsNewConnection = main.entry.address in call.usedAddresses,
         )
         val updatedCall = call.copy(
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementAction.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementAction.kt
@@ -54,6 +54,9 @@
     /** Report that the retry budget allows [call] no retry for now; [why] gives its use. */
     public data class RetryRefused(val call: ActiveCall, val why: String) : PlacementAction()
 
+    /** Find out at which software version the stream began that the caller of [call] resumes. */
+    public data class SeekOrigin(val call: ActiveCall) : PlacementAction()
+
     /** Probe the health of an upstream that has been silent for [silentMillis]. */
     public data class Probe(val upstream: UpstreamEntry, val silentMillis: Long) :
         PlacementAction()
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementEvent.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementEvent.kt
@@ -53,6 +53,9 @@
     public data class BegunElsewhere(val attempt: AttemptKey, val origin: StreamOrigin.BegunAt) :
         PlacementEvent()
 
+    /** The stream that [call] resumes began at [origin]; null if nobody knows where. */
+    public data class OriginFound(val call: CallKey, val origin: StreamOrigin?) : PlacementEvent()
+
     /** All events of a stream went to the caller. */
     public data class StreamCompleted(val attempt: AttemptKey) : PlacementEvent()
 
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementFilter.kt
@@ -1,6 +1,7 @@
 package org.bilberrycart.gateway.placement
 
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 import kotlinx.collections.immutable.toPersistentList
 import org.bilberrycart.gateway.model.AttemptKey
 import org.bilberrycart.gateway.model.CallFingerprint
@@ -24,7 +25,8 @@
         event: PlacementEvent,
         now: Duration,
     ): Step<PlacementState, PlacementAction> = when (event) {
-        is PlacementEvent.Submit -> callPlacement.place(state, ActiveCall(event.call), now, "new")
+        is PlacementEvent.Submit -> submitted(state, ActiveCall(event.call), now)
+        is PlacementEvent.OriginFound -> originFound(state, event, now)
         is PlacementEvent.CallerGone ->
             state.calls[event.key]?.let { CallCompletion.forget(state, it, "caller gone") }
                 ?: Step(state)
@@ -56,6 +58,35 @@
             UpstreamRegistry.removeExpired(state, now).then { timeoutChecks.check(it, now) }
     }
 
+    private fun submitted(
+        state: PlacementState,
+        call: ActiveCall,
+        now: Duration,
+    ): Step<PlacementState, PlacementAction> {
+        if (!call.isTakenUp) return callPlacement.place(state, call, now, "new")
+        val waiting = call.copy(origin = StreamOrigin.Sought)
+        return state.with(waiting).withActions(PlacementAction.SeekOrigin(waiting))
+    }
+
+    private fun originFound(
+        state: PlacementState,
+        event: PlacementEvent.OriginFound,
+        now: Duration,
+    ): Step<PlacementState, PlacementAction> {
+        val call = state.calls[event.call]?.takeIf { it.origin == StreamOrigin.Sought }
+            ?: return Step(state)
+        return when (event.origin) {
+            null -> CallCompletion.fail(
+                state,
+                call,
+                "nobody knows at which software version the stream began",
+                now,
+                retryAfter = UNKNOWN_ORIGIN_RETRY_AFTER,
+            )
+            else -> callPlacement.place(state, call.copy(origin = event.origin), now, "taken up")
+        }
+    }
+
     /** Ends all calls; each caller learns whether its call may have run. */
     private fun endAll(
         state: PlacementState,
@@ -195,4 +226,8 @@
             else -> next.with(updated)
         }
     }
+
+    private companion object {
+        val UNKNOWN_ORIGIN_RETRY_AFTER = 1.seconds
+    }
 }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/SendOrder.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/SendOrder.kt
@@ -3,6 +3,7 @@
 import kotlin.time.Duration
 import org.bilberrycart.gateway.model.AttemptKey
 import org.bilberrycart.gateway.model.RoutedCall
+import org.bilberrycart.gateway.model.StreamOrigin
 import org.bilberrycart.gateway.model.UpstreamEntry
 
 /**
@@ -15,6 +16,7 @@
  * @property usableUpstreams how many upstreams could be selected.
  * @property isRetry whether it counts as a retry in the retry budget of the service.
  * @property isUrgent whether it goes before the requests queued at [upstream].
+ * @property origin where the stream may be sent.
  * @property needsNewConnection whether the call was sent to the same address before. An answer to
  *   the earlier attempt may still arrive on its connection and bears the same request id.
  */
@@ -29,5 +31,6 @@
     val usableUpstreams: Int = 1,
     val isRetry: Boolean = false,
     val isUrgent: Boolean = false,
+    val origin: StreamOrigin = StreamOrigin.NotBegun,
     val needsNewConnection: Boolean = false,
 )
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/PlacementRun.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/PlacementRun.kt
@@ -69,6 +69,7 @@
         is PlacementAction.Forget -> "forget"
         is PlacementAction.Resumed -> "resumed ${action.pause.inWholeMilliseconds}"
         is PlacementAction.RetryRefused -> "retry refused"
+        is PlacementAction.SeekOrigin -> "seek origin"
         is PlacementAction.Probe -> "probe ${action.upstream.id.value}"
         is PlacementAction.Identify -> "identify ${action.id.value}"
         is PlacementAction.UpstreamStatusChanged -> action.status
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/SoftwareVersionTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/SoftwareVersionTest.kt
@@ -27,6 +27,15 @@
     override fun dataTestName(): String = name
 }
 
+/** A caller resumes a stream that began at [origin], with "a v1", "b v2" and "c v2-" listed. */
+private data class TakeUpCase(
+    val name: String,
+    val origin: StreamOrigin?,
+    val actions: List<String>,
+) : WithDataTestName {
+    override fun dataTestName(): String = name
+}
+
 private const val SEEDS = 20L
 
 private val route = Samples.route(
@@ -115,6 +124,34 @@
             }
         }
 
+        // Guards against callers' next tries that go on at another software version (ORDER).
+        context("a stream that its caller resumes") {
+            withData(
+                TakeUpCase("goes on at its version", StreamOrigin.BegunAt("v2"), listOf("send b")),
+                TakeUpCase(
+                    "is rejected at once if no upstream of its version is left",
+                    StreamOrigin.BegunAt("v0"),
+                    listOf("refuse not run"),
+                ),
+                TakeUpCase(
+                    "is rejected if nobody knows its version",
+                    null,
+                    listOf("refuse not run"),
+                ),
+            ) { case ->
+                (1..SEEDS).forEach { seed ->
+                    val run = PlacementRun(seed = seed)
+                    run.list("a v1", "b v2", "c v2-")
+                    val call = Samples.call(route)
+                    val takenUp = call.copy(head = call.head.copy(lastEvent = 4))
+                    run.step(PlacementEvent.Submit(takenUp)) shouldBe listOf("seek origin")
+                    run.advance(0.5.seconds) shouldBe emptyList()
+                    run.step(PlacementEvent.OriginFound(call.key, case.origin)) shouldBe
+                        case.actions
+                }
+            }
+        }
+
         test("a stream that began while it was sent to another version goes back to its own") {
             val run = begun(seed = 1, others = listOf("b v2", "c v1"), hasBegun = false)
             run.list("b v2", "a v1-")
