Keep the encoding of stream records out of the filter that decides on them

The filter built CBOR by itself, against the shape. Records hold typed contents now; the client of the store encodes them.

--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/origins/OriginRecords.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/origins/OriginRecords.kt
@@ -36,7 +36,7 @@
                 storeMillis = storeMillis - mixedAgo.inWholeMilliseconds,
                 versionBefore = versions.before,
             )
-            Record("$SERVICE/${state.process}/${name.value}", content.encoded())
+            Record("$SERVICE/${state.process}/${name.value}", content)
         }
         val expired = state.written.filter { it < oldestSegment(now) }.map { keyOf(state, it) }
         val removals = (expired + state.staleKeys).take(MAX_REMOVALS)
@@ -47,7 +47,7 @@
         val streams = state.sent.filterValues { it.segment == segment }
             .mapValues { it.value.softwareVersion }
         val bounded = streams.entries.take(MAX_STREAMS).associate { it.toPair() }
-        return Record(keyOf(state, segment), RecordContent(storeMillis, bounded).encoded())
+        return Record(keyOf(state, segment), RecordContent(storeMillis, bounded))
     }
 
     private fun keyOf(state: OriginsState, segment: Long): String =
@@ -79,19 +79,20 @@
         record: Record,
         page: RecordReply.Page,
     ): OriginsState {
-        val content = RecordContent.decoded(record.value)
+        val content = record.content
         val age = content?.let { (page.storeMillis - it.storeMillis).milliseconds }
-        val isStale = age == null || age >= ServiceVersions.MEMORY * 2
         return when {
-            isStale -> state.copy(staleKeys = state.staleKeys.add(record.key))
+            content == null || age == null || age >= ServiceVersions.MEMORY * 2 -> state.copy(
+                staleKeys = state.staleKeys.add(record.key),
+            )
             record.key.startsWith("$SERVICE/") -> {
                 val name = ServiceName(record.key.split('/', limit = KEY_PARTS).last())
-                val recordedAt = state.localMillis(content!!.storeMillis).milliseconds
+                val recordedAt = state.localMillis(content.storeMillis).milliseconds
                 val known = state.services[name] ?: ServiceVersions()
                 val versions = known.recorded(content.versionBefore, recordedAt)
                 state.copy(services = state.services.put(name, versions))
             }
-            else -> state.copy(recorded = state.recorded.putAll(content!!.streams))
+            else -> state.copy(recorded = state.recorded.putAll(content.streams))
         }
     }
 
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/origins/RecordContent.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/origins/RecordContent.kt
@@ -5,10 +5,6 @@
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.CborLabel
-import kotlinx.serialization.decodeFromByteArray
-import kotlinx.serialization.encodeToByteArray
-import org.bilberrycart.gateway.model.Body
-import org.bilberrycart.gateway.peers.CborCodec
 
 /**
  * What a record holds: the streams that a node began in some seconds, or the software versions of a
@@ -20,18 +16,8 @@
  *   null if unknown, or in a record of streams.
  */
 @Serializable
-internal data class RecordContent(
+public data class RecordContent(
     @CborLabel(label = 1) val storeMillis: Long,
     @CborLabel(label = 2) val streams: Map<String, String> = emptyMap(),
     @CborLabel(label = 3) val versionBefore: String? = null,
-) {
-    /** Returns the encoded form. */
-    fun encoded(): Body = Body(CborCodec.cbor.encodeToByteArray(this))
-
-    companion object {
-        /** Returns the content of [body], or null if it is malformed. */
-        fun decoded(body: Body): RecordContent? = CborCodec.decodeOrNull("stream_record") {
-            it.decodeFromByteArray<RecordContent>(body.bytes)
-        }
-    }
-}
+)
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/origins/RecordStore.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/origins/RecordStore.kt
@@ -1,10 +1,9 @@
 package org.bilberrycart.gateway.origins
 
 import kotlinx.collections.immutable.PersistentList
-import org.bilberrycart.gateway.model.Body
 
-/** A row of the table in which nodes keep what has to survive them. */
-public data class Record(val key: String, val value: Body)
+/** A row of the table in which nodes keep what has to survive them; no [content] if unreadable. */
+public data class Record(val key: String, val content: RecordContent?)
 
 /** The outcome of a call to a [RecordStore]. */
 public sealed class RecordReply {
