Reject streams without a record once several versions have served for long

What callers may have seen: a stream whose record is missing was taken for one of the version that was alone before the second one came, however long ago that was.

Callers resume a stream for 25 s at most on these sites; 40 s after a second version came, no stream from before it is resumed any more, and one without a record has lost it. Its version is unknown then. The records of a service tell for how long several versions had served, so that a node that starts knows it too. Two new cases of OriginsFilterTest hold; they were run on the new code only.

--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/origins/OriginRecords.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/origins/OriginRecords.kt
@@ -31,10 +31,11 @@
     fun write(state: OriginsState, now: Duration, storeMillis: Long): OriginsAction.Write {
         val streams = state.unwritten.map { segment -> streamsOf(state, segment, storeMillis) }
         val services = state.services.filterValues { it.isMixed(now) }.map { (name, versions) ->
-            val mixedAgo = now - (versions.mixedAt ?: now)
+            val mixedAt = versions.mixedAt ?: now
             val content = RecordContent(
-                storeMillis = storeMillis - mixedAgo.inWholeMilliseconds,
+                storeMillis = storeMillis - (now - mixedAt).inWholeMilliseconds,
                 versionBefore = versions.before,
+                mixedMillis = (mixedAt - (versions.mixedSince ?: mixedAt)).inWholeMilliseconds,
             )
             Record("$SERVICE/${state.process}/${name.value}", content)
         }
@@ -89,7 +90,9 @@
                 val name = ServiceName(record.key.split('/', limit = KEY_PARTS).last())
                 val recordedAt = state.localMillis(content.storeMillis).milliseconds
                 val known = state.services[name] ?: ServiceVersions()
-                val versions = known.recorded(content.versionBefore, recordedAt)
+                val recordedSince = recordedAt - content.mixedMillis.milliseconds
+                val versions =
+                    known.recorded(content.versionBefore, recordedSince, recordedAt)
                 state.copy(services = state.services.put(name, versions))
             }
             else -> state.copy(recorded = state.recorded.putAll(content.streams))
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/origins/OriginsFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/origins/OriginsFilter.kt
@@ -21,7 +21,8 @@
  * With one version of a service there is nothing to know. While several serve, and for as long as
  * callers may resume streams after that, each node records its streams in the store, well before
  * their first events; streams that were sent before are recorded as soon as a second version is
- * listed. A stream that no record names therefore began at the version that was alone before.
+ * listed. A stream that no record names therefore began at the version that was alone before,
+ * if that was not too long ago.
  */
 public class OriginsFilter : Filter<OriginsState, OriginsEvent, OriginsAction> {
     override fun step(
@@ -155,8 +156,8 @@
         val (missing, waiting) = others.partition { it.isRead }
         val found = known.map { OriginsAction.Found(it.call, knownOrigin(state, it, now)) }
         val inferred = missing.map {
-            val before = state.services[it.service]?.before
-            OriginsAction.Found(it.call, before?.let(StreamOrigin::BegunAt))
+            val version = state.services[it.service]?.unrecordedVersion(now)
+            OriginsAction.Found(it.call, version?.let(StreamOrigin::BegunAt))
         }
         val next = state.copy(seekers = waiting.toPersistentList())
         return Step<OriginsState, OriginsAction>(next, (found + inferred).toPersistentList())
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/origins/RecordContent.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/origins/RecordContent.kt
@@ -14,10 +14,12 @@
  * @property streams the software version at which each stream began, by the id of its request.
  * @property versionBefore the only software version of the service before others came beside it;
  *   null if unknown, or in a record of streams.
+ * @property mixedMillis for how long several versions of the service had served by then.
  */
 @Serializable
 public data class RecordContent(
     @CborLabel(label = 1) val storeMillis: Long,
     @CborLabel(label = 2) val streams: Map<String, String> = emptyMap(),
     @CborLabel(label = 3) val versionBefore: String? = null,
+    @CborLabel(label = 4) val mixedMillis: Long = 0,
 )
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/origins/OriginsFilterTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/origins/OriginsFilterTest.kt
@@ -97,6 +97,15 @@
                     list("v3")
                     pass(flushTime)
                 },
+                SeekCase(
+                    "has no record long after the second version came",
+                    "r0",
+                    version = "unknown",
+                ) {
+                    begin()
+                    list("v1", "v2")
+                    pass(41.seconds)
+                },
                 SeekCase("has a new id, long after the old version left", "r0", version = "v2") {
                     begin()
                     list("v1", "v2")
@@ -161,6 +170,12 @@
                     pass(flushTime)
                     restartAll("v2")
                 },
+                SeekCase("long after the second version came", "r0", version = "unknown") {
+                    begin()
+                    list("v1", "v2")
+                    pass(41.seconds)
+                    restartAll("v1", "v2")
+                },
                 SeekCase("twice", version = "v1") {
                     begin()
                     list("v1", "v2")
