--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/GatewayNode.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/GatewayNode.kt
@@ -28,7 +28,6 @@
 import org.bilberrycart.gateway.metrics.GatewayMetrics
 import org.bilberrycart.gateway.metrics.ServiceRetryUse
 import org.bilberrycart.gateway.model.RequestLimits
-import org.bilberrycart.gateway.model.RetryUse
 import org.bilberrycart.gateway.origins.RecordStore
 import org.bilberrycart.gateway.placement.PlacementEvent
 import org.bilberrycart.gateway.placement.PlacementFilter
@@ -283,17 +282,7 @@
         text.substringAfterLast(':').toInt(),
     )
 
-    private fun retryUses(): List<ServiceRetryUse> {
-        val state = placement.snapshot
-        val own = state.retryUses(clock.now())
-        return (own.keys + state.peerRetries.keys).map { service ->
-            ServiceRetryUse(
-                service.value,
-                own = own[service] ?: RetryUse(),
-                peers = state.peerRetries[service] ?: RetryUse(),
-            )
-        }
-    }
+    private fun retryUses(): List<ServiceRetryUse> = RetryUses.of(placement.snapshot, clock.now())
 
     private fun seed(): Long = settings.node.hashCode().toLong() * SEED_FACTOR + System.nanoTime()
 
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/origins/OriginRecords.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/origins/OriginRecords.kt
@@ -12,7 +12,7 @@
  * Builds and reads the records of where streams began.
  *
  * Each process writes a record for each segment of some seconds, with the streams that it sent in
- * that time, and one for each service with several software versions, which all nodes share.
+ * that time, and one for each service of which it knows several software versions.
  */
 internal object OriginRecords {
     private val SEGMENT = 5.seconds
