Keep what is known of crashing calls in the store

Cause: crash counts and blocked prompt parts were kept by processes and their gossip alone, so that they ended with the last process, and nodes that didn't hear each other counted alone. Class: what has to outlive the processes lay in their memory.

Each process now writes a record of the repeated crashes that it has a part in to the table crash-records. Records are forgotten after ten minutes, as in memory. The records' types move to a package of their own and name their table.

--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DecisionLog.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DecisionLog.kt
@@ -2,6 +2,7 @@
 
 import java.util.Locale
 import kotlin.time.Duration
+import org.bilberrycart.gateway.crashes.CrashRecordsAction
 import org.bilberrycart.gateway.discovery.ConfigurationRow
 import org.bilberrycart.gateway.discovery.DiscoveryAction
 import org.bilberrycart.gateway.discovery.StoreRow
@@ -14,6 +15,7 @@
 import org.bilberrycart.gateway.placement.ActiveCall
 import org.bilberrycart.gateway.placement.PlacementAction
 import org.bilberrycart.gateway.placement.SendOrder
+import org.bilberrycart.gateway.records.RecordTable
 import org.bilberrycart.gateway.relay.RelayAction
 import org.bilberrycart.gateway.watch.ExchangeWatchAction
 import org.slf4j.LoggerFactory
@@ -246,8 +248,15 @@
         if (action.isRecording) "begun" else "ended",
     )
 
-    fun recordCallFailed(call: String, cause: String) =
-        log.warn("event=stream_records_failed call={} cause=\"{}\"", call, cause)
+    fun recordCallFailed(table: RecordTable, call: String, cause: String) =
+        log.warn("event=records_failed table={} call={} cause=\"{}\"", table, call, cause)
+
+    fun crashesRecalled(action: CrashRecordsAction.Found) = log.info(
+        "event=crashes_recalled records={} contents={} blocked_parts={}",
+        action.known.size,
+        action.known.flatMap { it.calls.keys }.distinct().size,
+        action.known.flatMap { it.parts.blockedAges.keys }.distinct().size,
+    )
 
     fun lifecycle(action: LifecycleAction) = log.info("event=lifecycle action=\"{}\"", action)
 
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/GatewayNode.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/GatewayNode.kt
@@ -28,11 +28,11 @@
 import org.bilberrycart.gateway.metrics.GatewayMetrics
 import org.bilberrycart.gateway.metrics.ServiceRetryUse
 import org.bilberrycart.gateway.model.RequestLimits
-import org.bilberrycart.gateway.origins.RecordStore
 import org.bilberrycart.gateway.placement.PlacementEvent
 import org.bilberrycart.gateway.placement.PlacementFilter
 import org.bilberrycart.gateway.placement.PlacementSettings
 import org.bilberrycart.gateway.placement.PlacementState
+import org.bilberrycart.gateway.records.RecordStore
 import org.bilberrycart.gateway.relay.RelayFilter
 import org.bilberrycart.gateway.relay.RelayState
 import org.bilberrycart.pipeline.Clock
@@ -175,6 +175,15 @@
         log,
         peers = { discovery.snapshot.peers },
     )
+    private val crashRecords = CrashRecords(
+        settings,
+        rings,
+        duties,
+        records,
+        log,
+        clock,
+        placementState = { placement.snapshot },
+    )
     private val idlePeriods = IdlePeriods(IDLE_TICKS)
     private val ticker = Ticker(
         TICK,
@@ -190,6 +199,7 @@
             peerLinks.tickTarget,
             exchangeWatch.tickTarget,
             streamOrigins.tickTarget,
+            crashRecords.tickTarget,
         ),
         onEnded = { onThreadEnded("timer") },
     )
@@ -230,6 +240,7 @@
         peerLinks.start()
         exchangeWatch.start()
         streamOrigins.start()
+        crashRecords.start()
         rings.discovery.put(DiscoveryEvent.Start)
         ticker.start()
         httpServer.start()
@@ -255,6 +266,7 @@
         peerLinks.close()
         exchangeWatch.close()
         streamOrigins.close()
+        crashRecords.close()
         listOf(entry, placement, relay, discovery, lifecycle).forEach { it.close() }
         storeScheduler.stop()
         client.stop()
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/GatewayRings.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/GatewayRings.kt
@@ -1,5 +1,6 @@
 package org.bilberrycart.gateway.node
 
+import org.bilberrycart.gateway.crashes.CrashRecordsEvent
 import org.bilberrycart.gateway.discovery.DiscoveryEvent
 import org.bilberrycart.gateway.entry.EntryEvent
 import org.bilberrycart.gateway.lifecycle.LifecycleEvent
@@ -26,8 +27,9 @@
     val discovery = Ring<DiscoveryEvent>("discovery", CONTROL_CAPACITY)
     val lifecycle = Ring<LifecycleEvent>("lifecycle", CONTROL_CAPACITY, CONTROL_RESERVE)
     val origins = Ring<OriginsEvent>("origins", ORIGINS_CAPACITY)
+    val crashes = Ring<CrashRecordsEvent>("crashes", CONTROL_CAPACITY)
 
-    private val all = listOf(entry, placement, relay, discovery, lifecycle, origins)
+    private val all = listOf(entry, placement, relay, discovery, lifecycle, origins, crashes)
 
     /** Returns the statistics of each ring. */
     fun stats() = all.map { it.stats() }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/StreamOrigins.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/StreamOrigins.kt
@@ -5,9 +5,10 @@
 import org.bilberrycart.gateway.origins.OriginsEvent
 import org.bilberrycart.gateway.origins.OriginsFilter
 import org.bilberrycart.gateway.origins.OriginsState
-import org.bilberrycart.gateway.origins.RecordReply
-import org.bilberrycart.gateway.origins.RecordStore
 import org.bilberrycart.gateway.placement.PlacementEvent
+import org.bilberrycart.gateway.records.RecordReply
+import org.bilberrycart.gateway.records.RecordStore
+import org.bilberrycart.gateway.records.RecordTable.STREAMS
 import org.bilberrycart.timer.Ticker
 
 /**
@@ -54,14 +55,15 @@
 
     private fun execute(action: OriginsAction) {
         when (action) {
-            is OriginsAction.Read -> records.readRecords(action.from) { reply ->
+            is OriginsAction.Read -> records.readRecords(STREAMS, action.from) { reply ->
                 noteFailure("read", reply)
                 rings.origins.put(OriginsEvent.ReadReplied(action.call, reply))
             }
-            is OriginsAction.Write -> records.writeRecords(action.puts, action.removals) { reply ->
-                noteFailure("write", reply)
-                rings.origins.put(OriginsEvent.WriteReplied(action.call, reply))
-            }
+            is OriginsAction.Write ->
+                records.writeRecords(STREAMS, action.puts, action.removals) { reply ->
+                    noteFailure("write", reply)
+                    rings.origins.put(OriginsEvent.WriteReplied(action.call, reply))
+                }
             is OriginsAction.Found -> found(action)
             is OriginsAction.RecordingChanged -> log.recordingChanged(action)
         }
@@ -75,7 +77,7 @@
     }
 
     private fun noteFailure(call: String, reply: RecordReply): Unit = when (reply) {
-        is RecordReply.Failed -> log.recordCallFailed(call, reply.cause)
+        is RecordReply.Failed -> log.recordCallFailed(STREAMS, call, reply.cause)
         is RecordReply.Page, is RecordReply.Written -> Unit
     }
 
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/origins/OriginRecords.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/origins/OriginRecords.kt
@@ -7,6 +7,9 @@
 import kotlinx.collections.immutable.toPersistentMap
 import kotlinx.collections.immutable.toPersistentSet
 import org.bilberrycart.gateway.model.ServiceName
+import org.bilberrycart.gateway.records.Record
+import org.bilberrycart.gateway.records.RecordContent
+import org.bilberrycart.gateway.records.RecordReply
 
 /**
  * Builds and reads the records of where streams began.
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/origins/OriginsAction.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/origins/OriginsAction.kt
@@ -2,6 +2,7 @@
 
 import org.bilberrycart.gateway.model.CallKey
 import org.bilberrycart.gateway.model.StreamOrigin
+import org.bilberrycart.gateway.records.Record
 
 /** The actions that the origins filter requests. */
 public sealed class OriginsAction {
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/origins/OriginsEvent.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/origins/OriginsEvent.kt
@@ -4,6 +4,7 @@
 import kotlinx.collections.immutable.PersistentSet
 import org.bilberrycart.gateway.model.CallKey
 import org.bilberrycart.gateway.model.ServiceName
+import org.bilberrycart.gateway.records.RecordReply
 
 /** The inputs of the origins filter. */
 public sealed class OriginsEvent {
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/origins/OriginsFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/origins/OriginsFilter.kt
@@ -10,6 +10,7 @@
 import kotlinx.collections.immutable.toPersistentMap
 import kotlinx.collections.immutable.toPersistentSet
 import org.bilberrycart.gateway.model.StreamOrigin
+import org.bilberrycart.gateway.records.RecordReply
 import org.bilberrycart.pipeline.Filter
 import org.bilberrycart.pipeline.Step
 import org.bilberrycart.pipeline.then
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/CrashHistory.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/CrashHistory.kt
@@ -17,20 +17,27 @@
  *
  * @property local the crashes that this node has seen.
  * @property reported the crashes that other nodes named in their latest gossip.
+ * @property recalled the crashes that processes have recorded in the store, which may have ended.
  */
 public data class CrashHistory(
     val local: PersistentMap<CallFingerprint, CrashRecord> = persistentMapOf(),
     val reported: PersistentMap<CallFingerprint, Set<UpstreamCrash>> = persistentMapOf(),
+    val recalled: PersistentMap<CallFingerprint, Set<UpstreamCrash>> = persistentMapOf(),
 ) {
     /** Whether no crash and no answer is recorded. */
     public val isEmpty: Boolean
-        get() = local.isEmpty() && reported.isEmpty()
+        get() = local.isEmpty() && reported.isEmpty() && recalled.isEmpty()
 
     /** Returns how often upstreams crashed lately on calls with this content, over all nodes. */
-    public fun crashCount(content: CallFingerprint, now: Duration): Int {
+    public fun crashCount(content: CallFingerprint, now: Duration): Int = crashes(content, now).size
+
+    private fun crashes(content: CallFingerprint, now: Duration): Set<UpstreamCrash> {
         val known = local[content]?.takeIf { isKept(it, now) }
-        val others = if (known?.isCleared == true) emptySet() else reported[content].orEmpty()
-        return (known?.crashes?.keys.orEmpty() + others).size
+        val own = known?.crashes?.keys.orEmpty()
+        return when (known?.isCleared) {
+            true -> own
+            else -> own + reported[content].orEmpty() + recalled[content].orEmpty()
+        }
     }
 
     /** Whether calls with this content may be sent to another upstream at [now]. */
@@ -49,7 +56,7 @@
 
     /** Returns the history after an upstream began to answer a call with this content. */
     public fun withAnswer(content: CallFingerprint, now: Duration): CrashHistory = when (content) {
-        in local, in reported -> copy(
+        in local, in reported, in recalled -> copy(
             local = local.put(content, CrashRecord(isCleared = true, updatedAt = now)),
         )
         else -> this
@@ -61,6 +68,14 @@
         .sortedBy { it.value.updatedAt }.takeLast(MAX_GOSSIPED)
         .associate { (content, record) -> content to record.crashes.keys }
 
+    /** Returns the repeated crashes that this node has a part in, for its record in the store. */
+    public fun toRecord(now: Duration): Map<CallFingerprint, Set<UpstreamCrash>> = local.entries
+        .filter { it.value.crashes.isNotEmpty() && isKept(it.value, now) }
+        .sortedBy { it.value.updatedAt }
+        .associate { (content, _) -> content to crashes(content, now) }
+        .filterValues { it.size >= MIN_RECORDED }
+        .entries.toList().takeLast(MAX_RECORDED).associate { it.toPair() }
+
     private fun isKept(record: CrashRecord, now: Duration): Boolean =
         now - record.updatedAt < RETENTION
 
@@ -69,6 +84,10 @@
         const val MAX_CRASHES = 4
         const val MAX_CONTENTS = 64
         const val MAX_GOSSIPED = 8
+
+        /** Fewer crashes say little: a call may be in progress when its upstream crashes. */
+        const val MIN_RECORDED = 2
+        const val MAX_RECORDED = 32
         val RETENTION = 10.minutes
     }
 }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementEvent.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementEvent.kt
@@ -89,6 +89,17 @@
         val configuration: ConfigurationStatus? = null,
     ) : PlacementEvent()
 
+    /**
+     * Processes that may have ended have recorded these crashes in the store.
+     *
+     * @property crashes crashes of upstreams before they answered a call, by the call's content.
+     * @property partReports what was known of prompt parts that may crash upstreams.
+     */
+    public data class CrashesRecalled(
+        val crashes: PersistentMap<CallFingerprint, Set<UpstreamCrash>>,
+        val partReports: PersistentList<PartReport>,
+    ) : PlacementEvent()
+
     /** Upstream [id] runs at the address of [replaced]; [service] is null if it is unknown. */
     public data class Identified(
         val replaced: UpstreamId,
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementFilter.kt
@@ -52,6 +52,9 @@
                 withPeerLoads(withPeerReport(state, event), event, now),
             ).then { PartChecks.reported(it, event.partReports, now) }
                 .then { PartChecks.failUnbegun(state.parts, it, now) }
+        is PlacementEvent.CrashesRecalled ->
+            PartChecks.reported(withRecalled(state, event), event.partReports, now)
+                .then { PartChecks.failUnbegun(state.parts, it, now) }
         is PlacementEvent.UpstreamStated -> UpstreamStatements.stated(state, event, now)
         PlacementEvent.NodeStops -> endAll(state, now)
         PlacementEvent.Tick ->
@@ -128,6 +131,11 @@
             )
     }
 
+    private fun withRecalled(
+        state: PlacementState,
+        event: PlacementEvent.CrashesRecalled,
+    ): PlacementState = state.copy(crashes = state.crashes.copy(recalled = event.crashes))
+
     private fun withPeerReport(
         state: PlacementState,
         event: PlacementEvent.PeerReport,
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/origins/RecordCodec.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/records/RecordCodec.kt
@@ -1,6 +1,6 @@
 @file:OptIn(ExperimentalSerializationApi::class)
 
-package org.bilberrycart.gateway.origins
+package org.bilberrycart.gateway.records
 
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.decodeFromByteArray
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/origins/RecordStore.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/records/RecordStore.kt
@@ -1,8 +1,8 @@
-package org.bilberrycart.gateway.origins
+package org.bilberrycart.gateway.records
 
 import kotlinx.collections.immutable.PersistentList
 
-/** A row of the table in which nodes keep what has to survive them; no [content] if unreadable. */
+/** A row of a [RecordTable]; no [content] if unreadable. */
 public data class Record(val key: String, val content: RecordContent?)
 
 /** The outcome of a call to a [RecordStore]. */
@@ -27,11 +27,12 @@
 
 /** The calls about records to the store. Each is answered once, on any thread. */
 public interface RecordStore {
-    /** Reads a page of the records from key [from] or, if that is null, from the start. */
-    public fun readRecords(from: String?, reply: (RecordReply) -> Unit)
+    /** Reads a page of [table] from key [from] or, if that is null, from the start. */
+    public fun readRecords(table: RecordTable, from: String?, reply: (RecordReply) -> Unit)
 
-    /** Writes [puts] and removes the records with the keys [removals], all or none. */
+    /** Writes [puts] to [table] and removes the keys [removals] from it, all or none. */
     public fun writeRecords(
+        table: RecordTable,
         puts: List<Record>,
         removals: List<String>,
         reply: (RecordReply) -> Unit,
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/origins/OriginsFleet.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/origins/OriginsFleet.kt
@@ -8,6 +8,8 @@
 import org.bilberrycart.gateway.Samples
 import org.bilberrycart.gateway.model.CallKey
 import org.bilberrycart.gateway.model.StreamOrigin
+import org.bilberrycart.gateway.records.Record
+import org.bilberrycart.gateway.records.RecordReply
 
 /** Nodes that share the records of a store, in virtual time. */
 internal class OriginsFleet {
