Let a server error clear no crashes

Cause: each answer cleared the crashes of its content, and made the node ignore what its peers report of it from then on, a 500 of an upstream that had failed before it began the call too. Class: an error taken for proof of the opposite.

Evidence: the case 'is not cleared by an upstream that fails' of CrashHistoryTest: a fifth try in place of the error.

--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/AnswerHandling.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/AnswerHandling.kt
@@ -2,6 +2,7 @@
 
 import kotlin.time.Duration
 import kotlinx.collections.immutable.toPersistentList
+import org.bilberrycart.gateway.model.AnswerHead
 import org.bilberrycart.gateway.model.AttemptKey
 import org.bilberrycart.gateway.model.UpstreamAnswer
 import org.bilberrycart.gateway.model.UpstreamId
@@ -29,7 +30,7 @@
                 lossRecovery.attemptFailed(state, key, "status ${head.status} for a resume", now)
             head.isSuccess && head.isSigned && isOwn ->
                 CallCompletion.deliver(
-                    recordAnswer(state, call, attempt, now),
+                    recordAnswer(state, call, attempt, head, now),
                     call,
                     answer,
                     attempt.number,
@@ -37,9 +38,15 @@
             head.isSuccess || !head.isSigned || !isOwn ->
                 lossRecovery.attemptFailed(state, key, "answer without signature or id", now)
             head.status >= FIRST_SERVER_ERROR && call.call.route.retryRule.isRetryable ->
-                retry(recordAnswer(state, call, attempt, now), call, attempt, answer, now)
+                retry(
+                    recordAnswer(state, call, attempt, head, now),
+                    call,
+                    attempt,
+                    answer,
+                    now,
+                )
             else -> CallCompletion.deliver(
-                recordAnswer(state, call, attempt, now),
+                recordAnswer(state, call, attempt, head, now),
                 call,
                 answer,
                 attempt.number,
@@ -47,13 +54,21 @@
         }
     }
 
+    /**
+     * Records that the upstream of [attempt] answered with [head].
+     *
+     * A server error clears no crashes: the upstream may have failed before it began the call.
+     */
     private fun recordAnswer(
         state: PlacementState,
         call: ActiveCall,
         attempt: Attempt,
+        head: AnswerHead,
         now: Duration,
-    ): PlacementState = state.withCallAnswered(call, now)
-        .update(attempt.upstream) { it.withSignOfLife(now) }
+    ): PlacementState {
+        val seen = state.update(attempt.upstream) { it.withSignOfLife(now) }
+        return if (head.status >= FIRST_SERVER_ERROR) seen else seen.withCallAnswered(call, now)
+    }
 
     private fun misdirected(
         state: PlacementState,
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/CrashHistoryTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/CrashHistoryTest.kt
@@ -173,6 +173,17 @@
                     ),
                     actions = listOf("send", "send", "send"),
                 ),
+                CrashingCallCase(
+                    "is not cleared by an upstream that fails",
+                    RetryRule.Idempotent,
+                    events = listOf(
+                        broken(1),
+                        broken(2),
+                        PlacementEvent.Answered(attempt(3), Samples.answer(status = 500)),
+                        broken(4),
+                    ),
+                    actions = listOf("send", "send", "send", "deliver 500"),
+                ),
                 CrashingCallCase(
                     "does not count upstreams that it never reached",
                     events = (1..5).map { PlacementEvent.Unsent(attempt(it), "refused") },
