Read the records before a node takes its own version for the only one

Cause: a node that listed one version took it for the origin of every stream that it hadn't sent itself, however old its list was. Class: knowledge without an age.

Now it does so only while it is in step: its timer has fired, all known nodes were heard within a second, none has a newer list, and that for 3 s. Otherwise it reads the records first, and rejects the stream if they can't be read.

Evidence: the table 'a stream that a caller resumes at a node that was out of step' of OriginsFilterTest; with the new condition taken out, 5 of its 6 cases fail (v1 in place of v2, and of 'unknown').

--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/GatewayNode.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/GatewayNode.kt
@@ -173,7 +173,9 @@
         records,
         metrics,
         log,
-        peers = { discovery.snapshot.peers },
+        clock,
+        placementState = { placement.snapshot },
+        discoveryState = { discovery.snapshot },
     )
     private val crashRecords = CrashRecords(
         settings,
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/StreamOrigins.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/StreamOrigins.kt
@@ -1,20 +1,27 @@
 package org.bilberrycart.gateway.node
 
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import org.bilberrycart.gateway.discovery.DiscoveryState
+import org.bilberrycart.gateway.discovery.StoreTable
 import org.bilberrycart.gateway.metrics.GatewayMetrics
 import org.bilberrycart.gateway.origins.OriginsAction
 import org.bilberrycart.gateway.origins.OriginsEvent
 import org.bilberrycart.gateway.origins.OriginsFilter
 import org.bilberrycart.gateway.origins.OriginsState
 import org.bilberrycart.gateway.placement.PlacementEvent
+import org.bilberrycart.gateway.placement.PlacementState
 import org.bilberrycart.gateway.records.RecordReply
 import org.bilberrycart.gateway.records.RecordStore
 import org.bilberrycart.gateway.records.RecordTable.STREAMS
+import org.bilberrycart.pipeline.Clock
 import org.bilberrycart.timer.Ticker
 
 /**
  * Runs the duty that knows at which software version streams began.
  *
- * @property peers returns the number of other nodes.
+ * @property placementState returns what placement knows of the other nodes.
+ * @property discoveryState returns how current the list of upstreams is.
  */
 internal class StreamOrigins(
     settings: GatewaySettings,
@@ -23,7 +30,9 @@
     private val records: RecordStore,
     private val metrics: GatewayMetrics,
     private val log: DecisionLog,
-    private val peers: () -> Int,
+    private val clock: Clock,
+    private val placementState: () -> PlacementState,
+    private val discoveryState: () -> DiscoveryState,
 ) : AutoCloseable {
     private val duty = duties.duty(
         rings.origins,
@@ -36,7 +45,7 @@
     /** The target of the node's ticker that drives the duty. */
     val tickTarget: Ticker.Target<OriginsEvent> =
         Ticker.Target(rings.origins, isDue = idlePeriods.orWhen(::isBusy)) {
-            OriginsEvent.Tick(peers())
+            OriginsEvent.Tick(discoveryState().peers, isInStep())
         }
 
     /** Starts the duty. */
@@ -50,6 +59,15 @@
         duty.close()
     }
 
+    /** Returns whether all known nodes were heard lately and none knows of a further change. */
+    private fun isInStep(): Boolean {
+        val state = placementState()
+        val isHeard = state.share.peers.size + 1 >= (state.nodeCount ?: 1)
+        val silence = state.oldestPeerSeenAt?.let { clock.now() - it } ?: Duration.ZERO
+        val isCurrent = discoveryState().feeds.getValue(StoreTable.UPSTREAMS).peerLead == null
+        return isHeard && silence < MAX_SILENCE && isCurrent
+    }
+
     private fun isBusy(): Boolean =
         duty.snapshot.let { it.wasRecording || !it.hasRead || it.seekers.isNotEmpty() }
 
@@ -84,5 +102,8 @@
     private companion object {
         /** Without anything to do, one tick in this many. */
         const val IDLE_TICKS = 16
+
+        /** Peers that are heard are heard more often. */
+        val MAX_SILENCE = 1.seconds
     }
 }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/origins/OriginsEvent.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/origins/OriginsEvent.kt
@@ -33,6 +33,11 @@
     /** The call with number [call] to the store, a write, ended with [reply]. */
     public data class WriteReplied(val call: Long, val reply: RecordReply) : OriginsEvent()
 
-    /** The periodic timer fired while the node knows [peers] others. */
-    public data class Tick(val peers: Int) : OriginsEvent()
+    /**
+     * The periodic timer fired while the node knows [peers] others.
+     *
+     * @property isInStep whether the node lacks no change that another node knows, as far as it
+     *   can tell: all nodes are heard.
+     */
+    public data class Tick(val peers: Int, val isInStep: Boolean = true) : OriginsEvent()
 }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/origins/OriginsFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/origins/OriginsFilter.kt
@@ -24,6 +24,9 @@
  * their first events; streams that were sent before are recorded as soon as a second version is
  * listed. A stream that no record names therefore began at the version that was alone before,
  * if that was not too long ago.
+ *
+ * A node that was cut off from the others, or stood still, may not know of a second version. It
+ * reads the records before it takes the version that it lists for the only one.
  */
 public class OriginsFilter : Filter<OriginsState, OriginsEvent, OriginsAction> {
     override fun step(
@@ -109,6 +112,7 @@
         return when {
             version != null -> StreamOrigin.BegunAt(version)
             versions.isMixed(now) -> null
+            !seeker.isRead && !state.isInStep(now) -> null
             else -> StreamOrigin.BegunAt(versions.listed.singleOrNull() ?: versions.alone)
         }
     }
@@ -186,13 +190,25 @@
         state: OriginsState,
         event: OriginsEvent.Tick,
         now: Duration,
-    ): Step<OriginsState, OriginsAction> = changeServices(state, now) {
+    ): Step<OriginsState, OriginsAction> = changeServices(ticked(state, event, now), now) {
         val services = it.services.mapValues { (_, versions) -> versions.at(now) }
         OriginRecords.withoutOld(it.copy(services = services.toPersistentMap()), now)
     }.then { refuseLate(it, now) }
         .then { readAgain(it, now) }
         .then { write(it, event.peers, now) }
 
+    private fun ticked(
+        state: OriginsState,
+        event: OriginsEvent.Tick,
+        now: Duration,
+    ): OriginsState {
+        val wasInStep = event.isInStep && state.copy(outOfStepAt = null).isInStep(now)
+        return state.copy(
+            tickedAt = now,
+            outOfStepAt = if (wasInStep) state.outOfStepAt else now,
+        )
+    }
+
     /** Answers those who have waited too long for the store. */
     private fun refuseLate(state: OriginsState, now: Duration): Step<OriginsState, OriginsAction> {
         val (late, waiting) = state.seekers.partition { now - it.since >= MAX_WAIT }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/origins/OriginsState.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/origins/OriginsState.kt
@@ -1,6 +1,8 @@
 package org.bilberrycart.gateway.origins
 
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.PersistentSet
@@ -55,6 +57,8 @@
  * @property staleKeys keys of records that nobody needs any more.
  * @property seekers the callers that wait for an answer.
  * @property wasRecording whether streams were recorded at the last look.
+ * @property tickedAt when the timer last fired.
+ * @property outOfStepAt when the node last lacked changes, or may have; null if it never did.
  * @property storeClockOffset the store's clock less this node's, in milliseconds; null if unknown.
  */
 public data class OriginsState(
@@ -75,15 +79,32 @@
     val staleKeys: PersistentSet<String> = persistentSetOf(),
     val seekers: PersistentList<Seeker> = persistentListOf(),
     val wasRecording: Boolean = false,
+    val tickedAt: Duration = Duration.ZERO,
+    val outOfStepAt: Duration? = null,
     val storeClockOffset: Long? = null,
 ) {
     /** Whether several versions of a service serve, or did lately. */
     public fun isRecording(now: Duration): Boolean = services.values.any { it.isMixed(now) }
 
+    /** Returns whether the versions that this node lists are those that other nodes list too. */
+    internal fun isInStep(now: Duration): Boolean {
+        val isLate = now - tickedAt >= MAX_TICK_GAP
+        val isBack = outOfStepAt == null || now - outOfStepAt >= TIME_TO_CATCH_UP
+        return !isLate && isBack
+    }
+
     /** Returns the time of this node at which the store's clock shows [storeMillis]. */
     internal fun localMillis(storeMillis: Long): Long = storeMillis - (storeClockOffset ?: 0)
 
     /** Returns the time of the store's clock at [now]; null before the store has answered. */
     internal fun storeMillis(now: Duration): Long? =
         storeClockOffset?.let { now.inWholeMilliseconds + it }
+
+    private companion object {
+        /** The timer of a node that runs fires more often. */
+        val MAX_TICK_GAP = 700.milliseconds
+
+        /** How long after it was out of step a node may still lack changes. */
+        val TIME_TO_CATCH_UP = 3.seconds
+    }
 }
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/origins/OriginsFilterTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/origins/OriginsFilterTest.kt
@@ -198,6 +198,62 @@
             }
         }
 
+        // Guards against a node that takes the version it knows for the only one (ORDER).
+        context("a stream that a caller resumes at a node that was out of step") {
+            withData(
+                SeekCase("and was cut off while a second version came", version = "v2") {
+                    begin()
+                    cutOff = setOf("b")
+                    pass(1.seconds)
+                    list("v1", "v2")
+                    send("a", "r1", "v2")
+                    pass(flushTime)
+                },
+                SeekCase("and has just been reached again", version = "v2") {
+                    begin()
+                    cutOff = setOf("b")
+                    pass(1.seconds)
+                    list("v1", "v2")
+                    send("a", "r1", "v2")
+                    pass(flushTime)
+                    cutOff = emptySet()
+                    pass(100.milliseconds)
+                },
+                SeekCase("and stood still while a second version came", version = "v2") {
+                    begin()
+                    frozen = setOf("b")
+                    list("v1", "v2")
+                    send("a", "r1", "v2")
+                    pass(2.seconds)
+                },
+                SeekCase("and has just woken", version = "v2") {
+                    begin()
+                    frozen = setOf("b")
+                    list("v1", "v2")
+                    send("a", "r1", "v2")
+                    pass(2.seconds)
+                    frozen = emptySet()
+                    pass(100.milliseconds)
+                },
+                SeekCase("and only one version serves", version = "v1") {
+                    begin()
+                    cutOff = setOf("b")
+                    send("a", "r1", "v1")
+                    pass(1.seconds)
+                },
+                SeekCase("cut off from the store too", wait = 2.1.seconds, version = "unknown") {
+                    begin()
+                    cutOff = setOf("b")
+                    isStoreAway = true
+                    pass(1.seconds)
+                },
+            ) { case ->
+                val fleet = OriginsFleet()
+                case.happenings(fleet)
+                fleet.seek("b", case.sought, case.wait) shouldBe case.version
+            }
+        }
+
         // Guards against calls of the store, which all nodes pay for, where nothing is unknown.
         test("a service with one version costs one call a node, however many streams it has") {
             val fleet = OriginsFleet()
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/origins/OriginsFleet.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/origins/OriginsFleet.kt
@@ -37,8 +37,14 @@
     /** Ends all nodes at once. */
     fun killAll() = nodes.clear()
 
-    /** Lists upstreams of [versions] at all nodes. */
-    fun list(vararg versions: String) = nodes.keys.toList().forEach { node ->
+    /** The nodes that no change and no peer reaches. */
+    var cutOff = emptySet<String>()
+
+    /** The nodes that stand still. */
+    var frozen = emptySet<String>()
+
+    /** Lists upstreams of [versions] at all nodes that learn of it. */
+    fun list(vararg versions: String) = (nodes.keys - cutOff - frozen).forEach { node ->
         val services = persistentMapOf(Samples.desk to versions.toList().toPersistentSet())
         handle(node, OriginsEvent.VersionsListed(services))
     }
@@ -52,7 +58,9 @@
         val end = now + time
         while (now < end) {
             now += TICK
-            nodes.keys.toList().forEach { handle(it, OriginsEvent.Tick(peers = nodes.size - 1)) }
+            (nodes.keys - frozen).forEach {
+                handle(it, OriginsEvent.Tick(nodes.size - 1, isInStep = it !in cutOff))
+            }
         }
     }
 
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/CrashHistoryTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/CrashHistoryTest.kt
@@ -239,8 +239,7 @@
 
 private fun runOf(upstream: String) = Incarnation(UpstreamId(upstream), startedAtMillis = 1)
 
-private fun crashesOf(upstreams: List<String>) =
-    upstreams.map { UpstreamCrash(runOf(it)) }.toSet()
+private fun crashesOf(upstreams: List<String>) = upstreams.map { UpstreamCrash(runOf(it)) }.toSet()
 
 private fun crashingRoute(retryRule: RetryRule, attempts: Int): RouteRule =
     Samples.route(retryRule, attempts, timeout = 25.seconds, objective = 4.seconds)
