Begin streams where they are inferred to have begun while they can't be recorded

What callers saw: with the store silent and all nodes killed, streams of a second software version were taken for ones of the first and went on there (ORDER, skewed-away, KNOWN-RED).

Cause: a node goes on to begin streams at any version though it can't record them; a stream without a record is taken for one of the version that was alone before. Class: an inference that the writer doesn't keep true.

While what it sent is not in the store for longer than two writes take, a node lets streams begin only at the version that is inferred for them, if that still serves.

--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DecisionLog.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DecisionLog.kt
@@ -248,6 +248,11 @@
         if (action.isRecording) "begun" else "ended",
     )
 
+    fun versionsLimited(action: OriginsAction.BeginOnlyAt) = log.info(
+        "event=stream_versions_limited versions={}",
+        action.versions.entries.joinToString(",") { (name, version) -> "${name.value}:$version" },
+    )
+
     fun recordCallFailed(table: RecordTable, call: String, cause: String) =
         log.warn("event=records_failed table={} call={} cause=\"{}\"", table, call, cause)
 
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/StreamOrigins.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/StreamOrigins.kt
@@ -84,6 +84,10 @@
                 }
             is OriginsAction.Found -> found(action)
             is OriginsAction.RecordingChanged -> log.recordingChanged(action)
+            is OriginsAction.BeginOnlyAt -> {
+                log.versionsLimited(action)
+                rings.placement.put(PlacementEvent.VersionsLimited(action.versions))
+            }
         }
     }
 
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/origins/OriginRecords.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/origins/OriginRecords.kt
@@ -110,6 +110,7 @@
             written = (state.written.addAll(state.writing)).filter { it >= oldest }
                 .toPersistentSet(),
             writing = persistentSetOf(),
+            recordedUntil = state.writtenAt,
             storeClockOffset = storeMillis - now.inWholeMilliseconds,
         )
     }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/origins/OriginsAction.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/origins/OriginsAction.kt
@@ -1,6 +1,8 @@
 package org.bilberrycart.gateway.origins
 
+import kotlinx.collections.immutable.PersistentMap
 import org.bilberrycart.gateway.model.CallKey
+import org.bilberrycart.gateway.model.ServiceName
 import org.bilberrycart.gateway.model.StreamOrigin
 import org.bilberrycart.gateway.records.Record
 
@@ -19,6 +21,13 @@
     /** Tells placement where the stream that [call] resumes may go on; null if nobody knows. */
     public data class Found(val call: CallKey, val origin: StreamOrigin?) : OriginsAction()
 
+    /**
+     * Tells placement at which version the streams of a service shall begin while they can't be
+     * recorded; the streams of all other services may begin at any version.
+     */
+    public data class BeginOnlyAt(val versions: PersistentMap<ServiceName, String>) :
+        OriginsAction()
+
     /** Reports that nodes begin, or cease, to record where streams begin. */
     public data class RecordingChanged(val isRecording: Boolean) : OriginsAction()
 }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/origins/OriginsFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/origins/OriginsFilter.kt
@@ -196,6 +196,33 @@
     }.then { refuseLate(it, now) }
         .then { readAgain(it, now) }
         .then { write(it, event.peers, now) }
+        .then { limitVersions(it, event.peers, now) }
+
+    /**
+     * Lets streams begin only at the version that is inferred for those without a record, for as
+     * long as they can't be recorded.
+     */
+    private fun limitVersions(
+        state: OriginsState,
+        peers: Int,
+        now: Duration,
+    ): Step<OriginsState, OriginsAction> {
+        val isRecorded = state.unwritten.isEmpty() && state.writing.isEmpty()
+        val current = if (isRecorded) state.copy(recordedUntil = now) else state
+        val limit = writeInterval(peers) * 2 + MAX_WRITE_TIME
+        val isBehind = now - current.recordedUntil > limit
+        val versions = state.services.filterValues { isBehind && it.isMixed(now) }
+            .mapNotNull { (name, known) -> known.unrecordedVersion(now)?.let { name to it } }
+            .toMap().toPersistentMap()
+        return when (versions) {
+            state.beginOnlyAt -> Step(current)
+            else -> current.copy(beginOnlyAt = versions)
+                .withActions(OriginsAction.BeginOnlyAt(versions))
+        }
+    }
+
+    private fun writeInterval(peers: Int): Duration =
+        maxOf(WRITE_INTERVAL, WRITE_INTERVAL_PER_PEER * peers)
 
     private fun ticked(
         state: OriginsState,
@@ -234,7 +261,7 @@
         val storeMillis = state.storeMillis(now) ?: return Step(state)
         val isOverdue = state.writingCall != null && now - state.writtenAt >= MAX_CALL_TIME
         val isFree = state.writingCall == null || isOverdue
-        val interval = maxOf(WRITE_INTERVAL, WRITE_INTERVAL_PER_PEER * peers)
+        val interval = writeInterval(peers)
         val hasNews = state.unwritten.isNotEmpty() || state.hasNewVersions
         val isDue = now - state.writtenAt >= if (hasNews) interval else SERVICE_INTERVAL
         if (!state.isRecording(now) || !isFree || !isDue) return Step(state)
@@ -266,6 +293,9 @@
         val MAX_CALL_TIME = 1.seconds
         val READ_INTERVAL = 200.milliseconds
 
+        /** A write of a store that answers takes less. */
+        val MAX_WRITE_TIME = 100.milliseconds
+
         /** The first event of a stream takes longer than this and the write. */
         val WRITE_INTERVAL = 200.milliseconds
         val WRITE_INTERVAL_PER_PEER = 10.milliseconds
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/origins/OriginsState.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/origins/OriginsState.kt
@@ -57,6 +57,8 @@
  * @property staleKeys keys of records that nobody needs any more.
  * @property seekers the callers that wait for an answer.
  * @property wasRecording whether streams were recorded at the last look.
+ * @property recordedUntil streams that were sent until then are in the store, as far as they must.
+ * @property beginOnlyAt where streams shall begin while they can't be recorded, by service.
  * @property tickedAt when the timer last fired.
  * @property outOfStepAt when the node last lacked changes, or may have; null if it never did.
  * @property storeClockOffset the store's clock less this node's, in milliseconds; null if unknown.
@@ -79,6 +81,8 @@
     val staleKeys: PersistentSet<String> = persistentSetOf(),
     val seekers: PersistentList<Seeker> = persistentListOf(),
     val wasRecording: Boolean = false,
+    val recordedUntil: Duration = Duration.ZERO,
+    val beginOnlyAt: PersistentMap<ServiceName, String> = persistentMapOf(),
     val tickedAt: Duration = Duration.ZERO,
     val outOfStepAt: Duration? = null,
     val storeClockOffset: Long? = null,
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/CallPlacement.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/CallPlacement.kt
@@ -161,7 +161,7 @@
     }
 
     private fun selector(state: PlacementState, call: ActiveCall, now: Duration) =
-        LeastLoadedSelector(state, call.call.service.name, now, call.origin)
+        LeastLoadedSelector(state, call.call.service.name, now, state.originOf(call))
 
     private fun dispatch(
         state: PlacementState,
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementState.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementState.kt
@@ -7,8 +7,10 @@
 import kotlinx.collections.immutable.persistentMapOf
 import org.bilberrycart.gateway.model.CallKey
 import org.bilberrycart.gateway.model.ConfigurationStatus
+import org.bilberrycart.gateway.model.RetryRule
 import org.bilberrycart.gateway.model.RetryUse
 import org.bilberrycart.gateway.model.ServiceName
+import org.bilberrycart.gateway.model.StreamOrigin
 import org.bilberrycart.gateway.model.UpstreamId
 
 /**
@@ -16,6 +18,8 @@
  *
  * @property crashes upstreams that crashed before they answered a call, by the call's content.
  * @property parts what is known of prompt parts that crash upstreams.
+ * @property beginOnlyAt the software versions at which streams shall begin, by service; those of
+ *   other services may begin at any.
  * @property leaving the incarnations that stated that they leave, the latest last.
  * @property departed ids of removed upstreams, the latest last.
  * @property share the upstreams that this node prefers.
@@ -32,6 +36,7 @@
     val budgets: PersistentMap<ServiceName, RetryBudget> = persistentMapOf(),
     val crashes: CrashHistory = CrashHistory(),
     val parts: PartHistory = PartHistory(),
+    val beginOnlyAt: PersistentMap<ServiceName, String> = persistentMapOf(),
     val leaving: PersistentList<Incarnation> = persistentListOf(),
     val departed: PersistentList<UpstreamId> = persistentListOf(),
     val share: NodeShare = NodeShare(),
@@ -80,6 +85,18 @@
         reportAge = oldestPeerSeenAt?.let { now - it } ?: Duration.ZERO,
     )
 
+    /** Returns where [call] may be sent by its software version. */
+    internal fun originOf(call: ActiveCall): StreamOrigin {
+        val service = call.call.service.name
+        val limit = beginOnlyAt[service] ?: return call.origin
+        val isBeginning = call.origin == StreamOrigin.NotBegun &&
+            call.call.route.retryRule is RetryRule.Stream
+        val isServed = upstreams.values.any {
+            it.entry.service == service && !it.isLeaving && it.entry.softwareVersion == limit
+        }
+        return if (isBeginning && isServed) StreamOrigin.BegunAt(limit) else call.origin
+    }
+
     internal fun with(view: UpstreamView): PlacementState =
         copy(upstreams = upstreams.put(view.entry.id, view))
 
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/origins/OriginsFilterTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/origins/OriginsFilterTest.kt
@@ -24,6 +24,15 @@
     override fun dataTestName(): String = name
 }
 
+/** @property version where node "a" begins streams after [happenings]; null for any version. */
+private data class LimitCase(
+    val name: String,
+    val version: String?,
+    val happenings: OriginsFleet.() -> Unit,
+) : WithDataTestName {
+    override fun dataTestName(): String = name
+}
+
 private val flushTime = 500.milliseconds
 
 /** Starts two nodes with the version v1 for a while. */
@@ -254,6 +263,46 @@
             }
         }
 
+        // Guards against streams that no record names, whose version is inferred wrongly (ORDER).
+        context("while streams can't be recorded they begin at the version inferred for them") {
+            withData(
+                LimitCase("beside a second version", version = "v1") {
+                    begin()
+                    list("v1", "v2")
+                    pass(flushTime)
+                    isStoreAway = true
+                    send("a", "r1", "v2")
+                    pass(flushTime * 2)
+                },
+                LimitCase("but anywhere once the store is back", version = null) {
+                    begin()
+                    list("v1", "v2")
+                    pass(flushTime)
+                    isStoreAway = true
+                    send("a", "r1", "v2")
+                    pass(flushTime * 2)
+                    isStoreAway = false
+                    pass(flushTime * 4)
+                },
+                LimitCase("and anywhere while they are recorded", version = null) {
+                    begin()
+                    list("v1", "v2")
+                    repeat(100) {
+                        send("a", "r$it", "v2")
+                        pass(100.milliseconds)
+                    }
+                },
+                LimitCase("and anywhere if the service has one version", version = null) {
+                    begin()
+                    isStoreAway = true
+                    send("a", "r1", "v1")
+                    pass(5.seconds)
+                },
+            ) { case ->
+                OriginsFleet().apply(case.happenings).beginsOnlyAt("a") shouldBe case.version
+            }
+        }
+
         // Guards against calls of the store, which all nodes pay for, where nothing is unknown.
         test("a service with one version costs one call a node, however many streams it has") {
             val fleet = OriginsFleet()
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/origins/OriginsFleet.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/origins/OriginsFleet.kt
@@ -20,6 +20,8 @@
     private var starts = 0
     private val found = mutableMapOf<CallKey, StreamOrigin?>()
 
+    private val limits = mutableMapOf<String, String?>()
+
     /** Whether each call of the store fails. */
     var isStoreAway = false
 
@@ -53,6 +55,9 @@
     fun send(node: String, requestId: String, version: String) =
         handle(node, OriginsEvent.Sent(requestId, Samples.desk, version))
 
+    /** Returns the only version at which [node] begins streams; null for any. */
+    fun beginsOnlyAt(node: String): String? = limits[node]
+
     /** Lets [time] pass. */
     fun pass(time: Duration) {
         val end = now + time
@@ -89,6 +94,7 @@
                 OriginsEvent.WriteReplied(action.call, write(action)),
             )
             is OriginsAction.Found -> found[action.call] = action.origin
+            is OriginsAction.BeginOnlyAt -> limits[node] = action.versions[Samples.desk]
             is OriginsAction.RecordingChanged -> Unit
         }
     }
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/SoftwareVersionTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/SoftwareVersionTest.kt
@@ -5,6 +5,7 @@
 import io.kotest.engine.names.WithDataTestName
 import io.kotest.matchers.shouldBe
 import kotlin.time.Duration.Companion.seconds
+import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toPersistentList
 import org.bilberrycart.gateway.Samples
 import org.bilberrycart.gateway.model.RetryRule
@@ -124,6 +125,24 @@
             }
         }
 
+        // Guards against streams that begin where no record will name their version (ORDER).
+        context("while streams shall begin at v1 only, a stream") {
+            withData(
+                nameFn = { (upstreams, _) -> "$upstreams" },
+                listOf("a v1", "b v2", "c v2") to setOf("send a"),
+                listOf("a v2", "b v2", "c v1-") to setOf("send a", "send b"),
+            ) { (upstreams, sent) ->
+                val sends = (1..SEEDS).flatMap { seed ->
+                    val run = PlacementRun(seed = seed)
+                    run.list(*upstreams.toTypedArray())
+                    val limit = persistentMapOf(Samples.desk to "v1")
+                    run.step(PlacementEvent.VersionsLimited(limit))
+                    run.step(PlacementEvent.Submit(Samples.call(route)))
+                }
+                sends.toSet() shouldBe sent
+            }
+        }
+
         // Guards against callers' next tries that go on at another software version (ORDER).
         context("a stream that its caller resumes") {
             withData(
