Move streams that can't be recorded and have not begun

Cause: the limit held for streams that were placed after it. A stream takes over a second until its first event, and until then its caller has nothing that binds it.

Placement gives up the attempts that were sent since the last written record and have brought no event, and sends them to the version that is inferred for them. If the first event passes the relay at that moment, the relay's guard sends the stream back to where it began.

Evidence: the table 'a stream that was sent to v2 moves to v1'.

--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/StreamOrigins.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/StreamOrigins.kt
@@ -86,7 +86,9 @@
             is OriginsAction.RecordingChanged -> log.recordingChanged(action)
             is OriginsAction.BeginOnlyAt -> {
                 log.versionsLimited(action)
-                rings.placement.put(PlacementEvent.VersionsLimited(action.versions))
+                rings.placement.put(
+                    PlacementEvent.VersionsLimited(action.versions, action.recordedUntil),
+                )
             }
         }
     }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/origins/OriginsAction.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/origins/OriginsAction.kt
@@ -1,5 +1,6 @@
 package org.bilberrycart.gateway.origins
 
+import kotlin.time.Duration
 import kotlinx.collections.immutable.PersistentMap
 import org.bilberrycart.gateway.model.CallKey
 import org.bilberrycart.gateway.model.ServiceName
@@ -24,9 +25,13 @@
     /**
      * Tells placement at which version the streams of a service shall begin while they can't be
      * recorded; the streams of all other services may begin at any version.
+     *
+     * @property recordedUntil streams that were sent until then are recorded.
      */
-    public data class BeginOnlyAt(val versions: PersistentMap<ServiceName, String>) :
-        OriginsAction()
+    public data class BeginOnlyAt(
+        val versions: PersistentMap<ServiceName, String>,
+        val recordedUntil: Duration,
+    ) : OriginsAction()
 
     /** Reports that nodes begin, or cease, to record where streams begin. */
     public data class RecordingChanged(val isRecording: Boolean) : OriginsAction()
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/origins/OriginsFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/origins/OriginsFilter.kt
@@ -217,7 +217,7 @@
         return when (versions) {
             state.beginOnlyAt -> Step(current)
             else -> current.copy(beginOnlyAt = versions)
-                .withActions(OriginsAction.BeginOnlyAt(versions))
+                .withActions(OriginsAction.BeginOnlyAt(versions, current.recordedUntil))
         }
     }
 
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/LossRecovery.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/LossRecovery.kt
@@ -118,6 +118,26 @@
         }
     }
 
+    /** Moves the streams to other versions that have not begun at those that they shall. */
+    fun versionsLimited(
+        state: PlacementState,
+        event: PlacementEvent.VersionsLimited,
+        now: Duration,
+    ): Step<PlacementState, PlacementAction> {
+        val limited = state.copy(beginOnlyAt = event.versions)
+        val calls = state.calls.values.filter { call ->
+            val allowed = limited.originOf(call)
+            allowed != call.origin &&
+                call.attempts.values.any {
+                    it.sentAt > event.since && !allowed.allows(it.softwareVersion)
+                }
+        }
+        return calls.fold(Step(limited)) { step, call ->
+            val attempt = call.attempts.values.first()
+            step.then { abandon(it, call, attempt, "can't be recorded at its version", now) }
+        }
+    }
+
     private fun mayGiveUp(state: PlacementState, call: ActiveCall, now: Duration): Boolean =
         when (call.call.route.retryRule) {
             is RetryRule.Stream -> callPlacement.canPlace(state, call, now)
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementEvent.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementEvent.kt
@@ -56,9 +56,14 @@
     /** The stream that [call] resumes began at [origin]; null if nobody knows where. */
     public data class OriginFound(val call: CallKey, val origin: StreamOrigin?) : PlacementEvent()
 
-    /** Streams of these services shall begin at these software versions only. */
-    public data class VersionsLimited(val versions: PersistentMap<ServiceName, String>) :
-        PlacementEvent()
+    /**
+     * Streams of these services shall begin at these software versions only; those too that were
+     * sent after [since] and have not begun.
+     */
+    public data class VersionsLimited(
+        val versions: PersistentMap<ServiceName, String>,
+        val since: Duration,
+    ) : PlacementEvent()
 
     /** All events of a stream went to the caller. */
     public data class StreamCompleted(val attempt: AttemptKey) : PlacementEvent()
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementFilter.kt
@@ -27,7 +27,7 @@
     ): Step<PlacementState, PlacementAction> = when (event) {
         is PlacementEvent.Submit -> submitted(state, ActiveCall(event.call), now)
         is PlacementEvent.OriginFound -> originFound(state, event, now)
-        is PlacementEvent.VersionsLimited -> Step(state.copy(beginOnlyAt = event.versions))
+        is PlacementEvent.VersionsLimited -> lossRecovery.versionsLimited(state, event, now)
         is PlacementEvent.CallerGone ->
             state.calls[event.key]?.let { CallCompletion.forget(state, it, "caller gone") }
                 ?: Step(state)
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/SoftwareVersionTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/SoftwareVersionTest.kt
@@ -4,6 +4,8 @@
 import io.kotest.datatest.withData
 import io.kotest.engine.names.WithDataTestName
 import io.kotest.matchers.shouldBe
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toPersistentList
@@ -37,6 +39,16 @@
     override fun dataTestName(): String = name
 }
 
+/** A stream that was sent to v2 after half a second, when streams shall begin at v1 only. */
+private data class MoveCase(
+    val name: String,
+    val recordedUntil: Duration = Duration.ZERO,
+    val hasBegun: Boolean = false,
+    val actions: List<String>,
+) : WithDataTestName {
+    override fun dataTestName(): String = name
+}
+
 private const val SEEDS = 20L
 
 private val route = Samples.route(
@@ -136,13 +148,33 @@
                     val run = PlacementRun(seed = seed)
                     run.list(*upstreams.toTypedArray())
                     val limit = persistentMapOf(Samples.desk to "v1")
-                    run.step(PlacementEvent.VersionsLimited(limit))
+                    run.step(PlacementEvent.VersionsLimited(limit, since = Duration.ZERO))
                     run.step(PlacementEvent.Submit(Samples.call(route)))
                 }
                 sends.toSet() shouldBe sent
             }
         }
 
+        // Guards against streams that are on their way when they can't be recorded any more (ORDER).
+        context("a stream that was sent to v2 moves to v1") {
+            withData(
+                MoveCase("if it is not recorded", actions = listOf("cancel 1", "send a")),
+                MoveCase("unless it is recorded", recordedUntil = 1.seconds, actions = emptyList()),
+                MoveCase("unless it has begun", hasBegun = true, actions = emptyList()),
+            ) { case ->
+                val run = PlacementRun(seed = 1)
+                run.list("b v2")
+                run.now = 500.milliseconds
+                run.step(PlacementEvent.Submit(Samples.call(route)))
+                run.list("a v1", "b v2")
+                run.step(PlacementEvent.StreamOpened(attempt()))
+                if (case.hasBegun) run.step(PlacementEvent.StreamProgressed(attempt()))
+                val limit = persistentMapOf(Samples.desk to "v1")
+                run.step(PlacementEvent.VersionsLimited(limit, case.recordedUntil)) shouldBe
+                    case.actions
+            }
+        }
+
         // Guards against callers' next tries that go on at another software version (ORDER).
         context("a stream that its caller resumes") {
             withData(
