Forward calls to other nodes while this one reaches no upstream

Cause: a node had no way to an upstream but its own links. Readiness can't help: kept connections stay, and a zone with too few ready nodes gets its traffic all the same. Class: one path, and no use of those that others have.

A call is forwarded to a node that reaches its service once two of its attempts found no connection, or one that hung; at once if all upstreams of the service are down, or if the node is isolated: several upstreams lost and none heard since. The other node handles it like one of its own callers, with the time that is left and the number of earlier arrivals, counts it in the retry budget, and forwards it no further. What it refuses by itself has not run. An isolated node tells its peers of no losses, which were its own, and probes one upstream after the other. A stream that began through another node and is lost asks for its origin before it goes on.

--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/http/CallProtocol.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/http/CallProtocol.kt
@@ -20,13 +20,20 @@
 
     /**
      * Returns the headers to send to the upstream of [order]; a stream continues after [lastEvent],
-     * the id of the last event that the caller has, or starts at its first event if null.
+     * the id of the last event that the caller has, or starts at its first event if null. A node to
+     * which the call is forwarded gets those that the caller sent.
      */
     public fun upstreamHeaders(order: SendOrder, lastEvent: Long?): List<Header>
 
     /** Reads the status and headers of an upstream's answer. */
     public fun readAnswerHead(status: Int, headers: List<Header>): AnswerHead
 
+    /**
+     * Reads the status and headers of the answer of another node to which the call was forwarded.
+     * A refusal of that node that promises so says that the call has not run.
+     */
+    public fun readForwardedHead(status: Int, headers: List<Header>): AnswerHead
+
     /** Reads an engine's report on itself; returns null if [body] is not such a report. */
     public fun readEngineReport(body: Body): EngineReport?
 
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/http/UpstreamClient.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/http/UpstreamClient.kt
@@ -133,7 +133,7 @@
 
         fun start() {
             request.onRequestBegin { hasBegun = true }
-                .onResponseHeaders { onHead(probes.headOf(it)) }
+                .onResponseHeaders { onHead(probes.headOf(it, order.isForwarded)) }
                 .onResponseContentAsync { _, chunk, next -> onChunk(chunk.byteBuffer, next) }
             if (order.needsNewConnection) sendOnNewConnection() else request.send(::onFinished)
         }
@@ -170,7 +170,7 @@
 
         private fun onHead(received: AnswerHead) {
             val isReused = request.noteAnswer()
-            probes.reportStatements(order.upstream, received)
+            if (!order.isForwarded) probes.reportStatements(order.upstream, received)
             if (received.promisesNotRun) logRejection(received, isReused)
             // Only an id tells it from an earlier answer on the connection, written once more.
             val mayBeCopy = isReused && received.requestId == null
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/http/UpstreamProbes.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/http/UpstreamProbes.kt
@@ -52,10 +52,13 @@
     }
 
     /** Returns the head of [response], as the protocol reads it. */
-    fun headOf(response: Response): AnswerHead = protocol.readAnswerHead(
-        response.status,
-        response.headers.map { Header(it.name, it.value.orEmpty()) },
-    )
+    fun headOf(response: Response, isForwarded: Boolean = false): AnswerHead {
+        val headers = response.headers.map { Header(it.name, it.value.orEmpty()) }
+        return when {
+            isForwarded -> protocol.readForwardedHead(response.status, headers)
+            else -> protocol.readAnswerHead(response.status, headers)
+        }
+    }
 
     /** Reports what [answer] states of [upstream], unless another upstream answered. */
     fun reportStatements(upstream: UpstreamEntry, answer: AnswerHead) {
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/model/CallHead.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/model/CallHead.kt
@@ -15,6 +15,8 @@
  * @property lastEvent the id of the last event that the caller received, if it resumes a stream.
  * @property continuedRequest the id of the request that brought the stream's first event, if the
  *   caller resumes a stream.
+ * @property earlierArrivals how often the call may have reached an upstream before another node
+ *   forwarded it; null if it comes from a caller.
  * @property tokens the declared sizes of the prompt and the output, in tokens, if any.
  * @property sharedParts the parts of the prompt that other requests may share, in order.
  */
@@ -28,6 +30,7 @@
     val timeLeft: Duration? = null,
     val lastEvent: Long? = null,
     val continuedRequest: String? = null,
+    val earlierArrivals: Int? = null,
     val tokens: TokenCounts? = null,
     val sharedParts: PersistentList<PromptPartId> = persistentListOf(),
 ) {
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DecisionLog.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DecisionLog.kt
@@ -93,6 +93,10 @@
             action.why,
         )
         is PlacementAction.CrashRecorded -> crashRecorded(action)
+        is PlacementAction.IsolationChanged -> log.warn(
+            "event=upstreams_{}",
+            if (action.isIsolated) "unreachable" else "reached",
+        )
         is PlacementAction.PartBlocked -> partBlocked(action)
         is PlacementAction.PartReleased ->
             log.info("event=prompt_part_released part={}", action.part.value)
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/GatewayNode.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/GatewayNode.kt
@@ -156,6 +156,7 @@
         discovery = { rings.discovery.put(it) },
         placementState = { placement.snapshot },
         discoveryState = { discovery.snapshot },
+        takesCalls = { isReady },
     )
     private val exchangeWatch = ExchangeWatch(
         rings,
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/PeerLinks.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/PeerLinks.kt
@@ -37,6 +37,7 @@
     private val discovery: (DiscoveryEvent) -> Unit,
     private val placementState: () -> PlacementState,
     private val discoveryState: () -> DiscoveryState,
+    private val takesCalls: () -> Boolean,
 ) : AutoCloseable {
     private val self = "${settings.address}:${settings.peerPort}"
     private val ring = Ring<PeersEvent>("peers", RING_CAPACITY)
@@ -111,6 +112,7 @@
         }.toMap(),
         clock.now(),
         configurationStatus(),
+        callers = settings.callers.takeIf { takesCalls() },
     )
 
     private fun configurationStatus(): TableStatus {
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/PeerReports.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/PeerReports.kt
@@ -11,6 +11,7 @@
 import org.bilberrycart.gateway.peers.PeersAction
 import org.bilberrycart.gateway.peers.PeersEvent
 import org.bilberrycart.gateway.peers.TableStatus
+import org.bilberrycart.gateway.placement.ForwardingPeer
 import org.bilberrycart.gateway.placement.NodeShare
 import org.bilberrycart.gateway.placement.PlacementEvent
 import org.bilberrycart.gateway.placement.PlacementState
@@ -22,17 +23,18 @@
 
     /**
      * Returns what a node in [state] with the tables of [editions] and a [configuration] of
-     * this status reports at [now].
+     * this status reports at [now]; [callers] is where it takes forwarded calls, if it does.
      */
     fun tick(
         state: PlacementState,
         editions: Map<String, TableEdition>,
         now: Duration,
         configuration: TableStatus? = null,
+        callers: String? = null,
     ): PeersEvent.Tick = PeersEvent.Tick(
         loads = state.loads().mapKeys { it.key.value },
         lossAges = state.upstreams.values
-            .filter { it.failures > 0 && now - it.failedAt < LOSS_REPORT_TIME }
+            .filter { !state.isIsolated && it.failures > 0 && now - it.failedAt < LOSS_REPORT_TIME }
             .associate { it.entry.id.value to (now - it.failedAt).inWholeMilliseconds.toInt() },
         editions = editions,
         crashes = state.crashes.toGossip(now).entries.associate { (content, crashes) ->
@@ -41,6 +43,8 @@
         retries = state.retryUses(now).mapKeys { it.key.value },
         parts = state.parts.toReport(now),
         configuration = configuration,
+        callers = callers,
+        unreached = state.unreachedServices(now).map { it.value }.toSet(),
     )
 
     /** Returns the summary of [action] for the placement of the node at [self]. */
@@ -57,5 +61,8 @@
         partReports = action.summary.partReports.toPersistentList(),
         oldestSeenAt = action.summary.oldestSeenAt,
         configuration = action.summary.configuration,
+        forwardingPeers = action.summary.unreached.map { (address, services) ->
+            ForwardingPeer(address, services.map(::ServiceName).toSet())
+        }.toPersistentList(),
     )
 }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/PlacementSink.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/PlacementSink.kt
@@ -35,7 +35,7 @@
             }
             is PlacementAction.SeekOrigin -> {
                 val call = action.call.call
-                val begun = call.head.continuedRequest
+                val begun = call.head.continuedRequest ?: call.head.requestId
                 rings.origins.put(OriginsEvent.Sought(call.key, begun, call.service.name))
             }
             is PlacementAction.Cancel ->
@@ -57,6 +57,7 @@
             is PlacementAction.Resumed,
             is PlacementAction.RetryRefused,
             is PlacementAction.CrashRecorded,
+            is PlacementAction.IsolationChanged,
             is PlacementAction.PartBlocked,
             is PlacementAction.PartReleased,
             -> Unit
@@ -67,7 +68,7 @@
     private fun noteOrigin(action: PlacementAction.Send) {
         val order = action.order
         val isStream = order.call.route.retryRule is RetryRule.Stream
-        if (!isStream || order.call.head.lastEvent != null) return
+        if (!isStream || order.isForwarded || order.call.head.lastEvent != null) return
         val begun = order.origin as? StreamOrigin.BegunAt
         val version = if (begun == null) order.upstream.softwareVersion else begun.softwareVersion
         val service = order.call.service.name
@@ -112,6 +113,8 @@
             metrics.retryRefused(action.call.call.service.name.value)
         is PlacementAction.Resumed -> metrics.resumed(action.pause)
         is PlacementAction.CrashRecorded -> metrics.statusChanged("call", "broke_off_at_start")
+        is PlacementAction.IsolationChanged ->
+            metrics.statusChanged("upstreams", if (action.isIsolated) "unreachable" else "reached")
         is PlacementAction.PartBlocked -> metrics.statusChanged("prompt_part", "blocked")
         is PlacementAction.PartReleased -> metrics.statusChanged("prompt_part", "released")
         is PlacementAction.SeekOrigin -> metrics.statusChanged("stream", "taken_up")
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/GossipMessage.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/GossipMessage.kt
@@ -23,6 +23,9 @@
  * @property parts what the sender knows of prompt parts that may crash upstreams.
  * @property configurationAge how many milliseconds ago the store told the sender that there is no
  *   newer configuration; null if it never did.
+ * @property callers where the sender takes calls that others forward, HOST:PORT; null if it takes
+ *   none.
+ * @property unreached the services of which the sender reaches no upstream.
  */
 @Serializable
 public data class GossipMessage(
@@ -38,4 +41,6 @@
     @CborLabel(label = 9) val retries: Map<String, RetryUse> = emptyMap(),
     @CborLabel(label = 10) val parts: PartReport = PartReport(),
     @CborLabel(label = 11) @SerialName("config") val configurationAge: Int? = null,
+    @CborLabel(label = 13) val callers: String? = null,
+    @CborLabel(label = 14) val unreached: Set<String> = emptySet(),
 )
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeerSummaries.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeerSummaries.kt
@@ -25,6 +25,9 @@
                 .flatMap { it.entries }
                 .groupingBy { it.key }.fold(emptySet()) { names, entry -> names + entry.value },
             retries = retries(state, now),
+            unreached = messages.mapNotNull { message ->
+                message.callers?.let { it to message.unreached }
+            }.toMap(),
             partReports = messages.map { it.parts }.filterNot { it.isEmpty },
             oldestSeenAt = peers.minOfOrNull { it.lastSeenAt },
             configuration = configuration?.let { statusOf(it, peers) },
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeerSummary.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeerSummary.kt
@@ -17,6 +17,8 @@
  *   without peers.
  * @property configuration whether this node's configuration is in force, by all that is known; null
  *   if it follows none.
+ * @property unreached the services of which each peer that takes forwarded calls reaches no
+ *   upstream, by the address at which it takes them.
  * @property partReports what each peer that knows of any reports on parts that crash upstreams.
  */
 public data class PeerSummary(
@@ -24,6 +26,7 @@
     val lossAges: Map<String, Int> = emptyMap(),
     val crashes: Map<Long, Set<String>> = emptyMap(),
     val retries: Map<String, RetryUse> = emptyMap(),
+    val unreached: Map<String, Set<String>> = emptyMap(),
     val partReports: List<PartReport> = emptyList(),
     val oldestSeenAt: Duration? = null,
     val configuration: ConfigurationStatus? = null,
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeersEvent.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeersEvent.kt
@@ -21,5 +21,7 @@
         val retries: Map<String, RetryUse> = emptyMap(),
         val parts: PartReport = PartReport(),
         val configuration: TableStatus? = null,
+        val callers: String? = null,
+        val unreached: Set<String> = emptySet(),
     ) : PeersEvent()
 }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeersFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/peers/PeersFilter.kt
@@ -111,6 +111,8 @@
             state.lastSent.crashes != event.crashes ||
             hasNewRetries(event.retries, state.lastSent.retries) ||
             !state.lastSent.parts.hasSameSubjects(event.parts) ||
+            state.lastSent.unreached != event.unreached ||
+            state.lastSent.callers != event.callers ||
             event.lossAges.isNotEmpty()
         val interval = interval(state)
         val isEarly = now - state.lastSentAt <
@@ -153,6 +155,8 @@
             parts = event.parts,
             configurationAge = event.configuration?.confirmedAt
                 ?.let { (now - it).inWholeMilliseconds.toInt() },
+            callers = event.callers,
+            unreached = event.unreached,
         )
         return Step(
             state.copy(sequence = message.sequence, lastSent = message),
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/ActiveCall.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/ActiveCall.kt
@@ -31,6 +31,7 @@
  * @property rejections how many upstreams stated that they did not run the call.
  * @property rejectedAt when the last of them did; null before.
  * @property origin where the call may be sent, if it is a stream that has begun.
+ * @property unsentAttempts how many attempts didn't reach their upstream, for want of a connection.
  * @property isTakenFromSilent whether an attempt was given up since its upstream was silent, which
  *   may have gone on.
  */
@@ -51,6 +52,7 @@
     val rejections: Int = 0,
     val rejectedAt: Duration? = null,
     val origin: StreamOrigin = StreamOrigin.NotBegun,
+    val unsentAttempts: Int = 0,
     val isTakenFromSilent: Boolean = false,
 ) {
     /** Whether the call has no attempt in progress and waits for an upstream. */
@@ -93,14 +95,21 @@
         RetryRule.Idempotent, RetryRule.AtMostOnce -> CALL_LOAD
     }
 
-    private companion object {
-        const val RUNNING_LOAD = 1
-        const val PROMPT_LOAD = 4
-        const val CALL_LOAD = 2
+    /** Begins calls. */
+    internal companion object {
+        /** Returns [call] as it is admitted; another node may have sent it before. */
+        fun of(call: RoutedCall): ActiveCall {
+            val arrivals = call.head.earlierArrivals ?: 0
+            return ActiveCall(call, possibleArrivals = arrivals, possibleRuns = arrivals)
+        }
+
+        private const val RUNNING_LOAD = 1
+        private const val PROMPT_LOAD = 4
+        private const val CALL_LOAD = 2
 
         /** Dispatches allowed beyond the route's limit, to make up for those that did not run. */
-        const val EXTRA_DISPATCHES = 8
-        val BACKOFF_PER_REJECTION = 100.milliseconds
-        val MAX_BACKOFF = 500.milliseconds
+        private const val EXTRA_DISPATCHES = 8
+        private val BACKOFF_PER_REJECTION = 100.milliseconds
+        private val MAX_BACKOFF = 500.milliseconds
     }
 }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/CallPlacement.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/CallPlacement.kt
@@ -15,6 +15,8 @@
     private val settings: PlacementSettings,
     private val retryBudgets: RetryBudgets,
 ) {
+    private val forwarding = Forwarding()
+
     /**
      * Sends [call] to the best upstream, or keeps it waiting if none is usable.
      *
@@ -74,7 +76,7 @@
             state.mayStart(call, now) &&
             state.parts.blockedAmong(call.call.head.sharedParts, now) == null &&
             retryBudgets.allows(state, call, now) &&
-            selector.usable.isNotEmpty()
+            (selector.usable.isNotEmpty() || forwarding.peerFor(state, call, selector) != null)
     }
 
     /**
@@ -152,11 +154,10 @@
         call: ActiveCall,
         now: Duration,
     ): Step<PlacementState, PlacementAction> {
-        val choice = selector(state, call, now).choose(call)
-        val mayHedge = call.hasAttemptsLeft &&
-            retryBudgets.allows(state, call, now) &&
-            choice != null &&
-            choice.entry.id !in call.triedUpstreams
+        val selector = selector(state, call, now)
+        val choice = selector.choose(call)?.takeIf { it.entry.id !in call.triedUpstreams }
+        val hasChoice = choice != null || forwarding.peerFor(state, call, selector) != null
+        val mayHedge = call.hasAttemptsLeft && retryBudgets.allows(state, call, now) && hasChoice
         return if (mayHedge) dispatch(state, call, now, "hedge") else Step(state)
     }
 
@@ -170,8 +171,21 @@
         why: String,
     ): Step<PlacementState, PlacementAction> {
         val selector = selector(state, call, now)
-        val holder = selector.copyHolder(call.kvCacheCopy)
         if (selector.hasNoneOfVersion) return failWithoutVersion(state, call, now, why)
+        return when (val peer = forwarding.peerFor(state, call, selector)) {
+            null -> dispatchDirectly(state, call, selector, now, why)
+            else -> forwarding.send(state, call, peer, selector.nextSeed, now, why)
+        }
+    }
+
+    private fun dispatchDirectly(
+        state: PlacementState,
+        call: ActiveCall,
+        selector: LeastLoadedSelector,
+        now: Duration,
+        why: String,
+    ): Step<PlacementState, PlacementAction> {
+        val holder = selector.copyHolder(call.kvCacheCopy)
         val isUntried = holder != null || selector.hasUntried(call)
         if (call.isStreamOpen && !isUntried && call.isBackingOff(now)) return Step(state)
         val main = holder ?: selector.choose(call)
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/LeastLoadedSelector.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/LeastLoadedSelector.kt
@@ -37,6 +37,10 @@
     val hasNoneOfVersion: Boolean
         get() = origin is StreamOrigin.BegunAt && listed.isEmpty()
 
+    /** Whether the service has upstreams, and all of them are taken for lost. */
+    val areAllDown: Boolean
+        get() = listed.isNotEmpty() && listed.none { it.isUsable(now) || it.isPaused(now) }
+
     /** The upstreams of the service that may be selected. */
     val usable: List<UpstreamView> = available.filter { state.quotaWait(it, now) == ZERO }
 
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/LossRecovery.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/LossRecovery.kt
@@ -1,12 +1,15 @@
 package org.bilberrycart.gateway.placement
 
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlinx.collections.immutable.persistentListOf
 import org.bilberrycart.gateway.model.AttemptKey
 import org.bilberrycart.gateway.model.RetryRule
+import org.bilberrycart.gateway.model.StreamOrigin
 import org.bilberrycart.gateway.model.UpstreamId
 import org.bilberrycart.pipeline.Step
 import org.bilberrycart.pipeline.then
+import org.bilberrycart.pipeline.withActions
 
 /** Handles the loss of attempts and upstreams: retries the affected calls or fails them. */
 internal class LossRecovery(
@@ -24,9 +27,19 @@
         val call = state.calls[key.call] ?: return Step(state)
         val attempt = call.attempts[key.number] ?: return Step(state)
         return markDown(state, attempt.upstream, cause, now)
-            .then { withdraw(it, call, attempt, now, "unsent, $cause") }
+            .then {
+                val noted = call.copy(
+                    unsentAttempts =
+                    call.unsentAttempts + unsentCount(attempt, now),
+                )
+                withdraw(it, noted, attempt, now, "unsent, $cause")
+            }
     }
 
+    /** Returns what an attempt that was never sent counts; one that waited for long, all. */
+    private fun unsentCount(attempt: Attempt, now: Duration): Int =
+        if (now - attempt.sentAt >= LONG_CONNECT) 2 else 1
+
     /** Sends a stream to an upstream of the software version that has begun it meanwhile. */
     fun begunElsewhere(
         state: PlacementState,
@@ -159,7 +172,21 @@
             silentSince = (call.silentSince ?: attempt.lastSeenAt).takeIf { call.isStreamOpen },
             kvCacheCopy = copy ?: call.kvCacheCopy,
         )
-        return continueCall(state.withAttemptCounted(attempt, -1), remaining, now, "lost, $cause")
+        val next = state.withAttemptCounted(attempt, -1)
+        val isOriginUnknown = attempt.isForwarded &&
+            attempt.hasEvents &&
+            call.origin == StreamOrigin.BegunAt(null)
+        if (isOriginUnknown) return seekOrigin(next, remaining)
+        return continueCall(next, remaining, now, "lost, $cause")
+    }
+
+    /** Asks where [call], which began through another node, may go on. */
+    private fun seekOrigin(
+        state: PlacementState,
+        call: ActiveCall,
+    ): Step<PlacementState, PlacementAction> {
+        val waiting = call.copy(origin = StreamOrigin.Sought)
+        return state.with(waiting).withActions(PlacementAction.SeekOrigin(waiting))
     }
 
     /** Retries or fails [call] after an attempt ended, unless another attempt is in progress. */
@@ -195,5 +222,8 @@
 
     private companion object {
         const val MAX_DOUBLINGS = 4
+
+        /** A connection that takes as long to be made hangs. */
+        val LONG_CONNECT = 250.milliseconds
     }
 }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PartChecks.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PartChecks.kt
@@ -23,7 +23,8 @@
         now: Duration,
     ): Step<PlacementState, PlacementAction> {
         val call = state.calls[key.call] ?: return Step(state)
-        val attempt = call.attempts[key.number] ?: return Step(state)
+        val attempt = call.attempts[key.number]?.takeUnless { it.isForwarded }
+            ?: return Step(state)
         val parts = call.call.head.sharedParts
         val isAtStart = attempt.headAt?.let { now - it < START_PERIOD } == true
         if (!isAtStart || parts.isEmpty()) return Step(state)
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementAction.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementAction.kt
@@ -57,6 +57,9 @@
     /** Find out at which software version the stream began that the caller of [call] resumes. */
     public data class SeekOrigin(val call: ActiveCall) : PlacementAction()
 
+    /** Reports that the node lost its links to the upstreams, or has them again. */
+    public data class IsolationChanged(val isIsolated: Boolean) : PlacementAction()
+
     /** Probe the health of an upstream that has been silent for [silentMillis]. */
     public data class Probe(val upstream: UpstreamEntry, val silentMillis: Long) :
         PlacementAction()
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementEvent.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementEvent.kt
@@ -86,6 +86,7 @@
      * @property oldestSeenAt when the node that has been silent for longest was last heard.
      * @property configuration whether this node's configuration is in force; null if unknown.
      * @property partReports what other nodes report on prompt parts that may crash upstreams.
+     * @property forwardingPeers the nodes that take calls in place of this one.
      */
     public data class PeerReport(
         val loads: PersistentMap<UpstreamId, Int>,
@@ -96,6 +97,7 @@
         val partReports: PersistentList<PartReport> = persistentListOf(),
         val oldestSeenAt: Duration? = null,
         val configuration: ConfigurationStatus? = null,
+        val forwardingPeers: PersistentList<ForwardingPeer> = persistentListOf(),
     ) : PlacementEvent()
 
     /**
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementFilter.kt
@@ -25,7 +25,7 @@
         event: PlacementEvent,
         now: Duration,
     ): Step<PlacementState, PlacementAction> = when (event) {
-        is PlacementEvent.Submit -> submitted(state, ActiveCall(event.call), now)
+        is PlacementEvent.Submit -> submitted(state, ActiveCall.of(event.call), now)
         is PlacementEvent.OriginFound -> originFound(state, event, now)
         is PlacementEvent.VersionsLimited -> lossRecovery.versionsLimited(state, event, now)
         is PlacementEvent.CallerGone ->
@@ -121,7 +121,8 @@
         now: Duration,
     ): Step<PlacementState, PlacementAction> {
         val call = state.calls[key.call] ?: return Step(state)
-        val attempt = call.attempts[key.number]?.takeUnless { it.hasEvents } ?: return Step(state)
+        val attempt = call.attempts[key.number]?.takeUnless { it.hasEvents || it.isForwarded }
+            ?: return Step(state)
         val content = CallFingerprint.of(call.call)
         val run = state.upstreams[attempt.upstream]?.let { Incarnation.of(it.entry) }
             ?: Incarnation(attempt.upstream, startedAtMillis = null)
@@ -146,6 +147,7 @@
         peerRetries = event.retries,
         oldestPeerSeenAt = event.oldestSeenAt,
         configuration = event.configuration,
+        forwardingPeers = event.forwardingPeers,
     ).let { if (event.share == state.share) it else withShare(it, event.share) }
 
     private fun withShare(state: PlacementState, share: NodeShare): PlacementState =
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementState.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/PlacementState.kt
@@ -18,6 +18,8 @@
  *
  * @property crashes upstreams that crashed before they answered a call, by the call's content.
  * @property parts what is known of prompt parts that crash upstreams.
+ * @property forwardingPeers the other nodes that take calls in place of this one.
+ * @property isIsolated whether this node has lost its links to the upstreams.
  * @property beginOnlyAt the software versions at which streams shall begin, by service; those of
  *   other services may begin at any.
  * @property leaving the incarnations that stated that they leave, the latest last.
@@ -36,6 +38,8 @@
     val budgets: PersistentMap<ServiceName, RetryBudget> = persistentMapOf(),
     val crashes: CrashHistory = CrashHistory(),
     val parts: PartHistory = PartHistory(),
+    val forwardingPeers: PersistentList<ForwardingPeer> = persistentListOf(),
+    val isIsolated: Boolean = false,
     val beginOnlyAt: PersistentMap<ServiceName, String> = persistentMapOf(),
     val leaving: PersistentList<Incarnation> = persistentListOf(),
     val departed: PersistentList<UpstreamId> = persistentListOf(),
@@ -85,6 +89,12 @@
         reportAge = oldestPeerSeenAt?.let { now - it } ?: Duration.ZERO,
     )
 
+    /** Returns the services of which this node can send calls to no upstream at [now]. */
+    internal fun unreachedServices(now: Duration): Set<ServiceName> = upstreams.values
+        .filterNot { it.isLeaving || it.isReplaced }
+        .groupBy { it.entry.service }
+        .filterValues { views -> isIsolated || views.none { it.isUp(now) } }.keys
+
     /** Returns where [call] may be sent by its software version. */
     internal fun originOf(call: ActiveCall): StreamOrigin {
         val service = call.call.service.name
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/SendOrder.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/SendOrder.kt
@@ -17,6 +17,8 @@
  * @property isRetry whether it counts as a retry in the retry budget of the service.
  * @property isUrgent whether it goes before the requests queued at [upstream].
  * @property origin where the stream may be sent.
+ * @property earlierArrivals how often the call may have reached an upstream, if it is forwarded to
+ *   another node in place of one; else null.
  * @property needsNewConnection whether the call was sent to the same address before. An answer to
  *   the earlier attempt may still arrive on its connection and bears the same request id.
  */
@@ -32,5 +34,10 @@
     val isRetry: Boolean = false,
     val isUrgent: Boolean = false,
     val origin: StreamOrigin = StreamOrigin.NotBegun,
+    val earlierArrivals: Int? = null,
     val needsNewConnection: Boolean = false,
-)
+) {
+    /** Whether another node gets the call, to send it to an upstream. */
+    public val isForwarded: Boolean
+        get() = earlierArrivals != null
+}
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/TimeoutChecks.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/TimeoutChecks.kt
@@ -28,7 +28,8 @@
                     lossRecovery.upstreamDead(it, view.entry.id, "probe not answered", now)
                 }
             }
-        return state.calls.keys.fold(probed) { step, key ->
+        val isolated = probed.then { Isolation.check(it, now) }
+        return state.calls.keys.fold(isolated) { step, key ->
             step.then { checkCall(it, key, now) }
         }
     }
@@ -95,7 +96,7 @@
         now: Duration,
     ): Step<PlacementState, PlacementAction> {
         val attempt = call.attempts.values.first()
-        val view = state.upstreams[attempt.upstream] ?: return Step(state)
+        val view = state.upstreams[attempt.upstream]
         val silence = now - attempt.lastSeenAt - state.tickLag.lag
         val stallLimit = when {
             attempt.hasEvents -> settings.streamStall
@@ -113,7 +114,9 @@
                     "silent for ${silence.inWholeMilliseconds} ms",
                     now,
                 )
-            silence > silenceLimit && now - view.lastSeenAt - state.tickLag.lag > silenceLimit ->
+            view != null &&
+                silence > silenceLimit &&
+                now - view.lastSeenAt - state.tickLag.lag > silenceLimit ->
                 probe(state, view, silence, now)
             else -> Step(state)
         }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/relay/RelayFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/relay/RelayFilter.kt
@@ -50,7 +50,10 @@
                 call = order.call,
                 lastEvent = order.call.head.lastEvent,
             )
-        val next = stream.copy(softwareVersion = order.upstream.softwareVersion)
+        val next = stream.copy(
+            softwareVersion = order.upstream.softwareVersion,
+            isForwarded = order.isForwarded,
+        )
         return state.with(next).withActions(RelayAction.Send(order, stream.lastEvent))
     }
 
@@ -95,7 +98,7 @@
                 next.copy(
                     lastEvent = frames.ids.last(),
                     mustBringEvent = false,
-                    origin = StreamOrigin.BegunAt(next.softwareVersion),
+                    origin = originOf(next),
                 ),
             ).withActions(
                 RelayAction.Write(event.attempt, frames.completeEvents),
@@ -104,6 +107,12 @@
         }
     }
 
+    /** Returns where [stream] may go on after an event; another node knows where it began. */
+    private fun originOf(stream: RelayedStream): StreamOrigin = when {
+        stream.isForwarded -> stream.origin
+        else -> StreamOrigin.BegunAt(stream.softwareVersion)
+    }
+
     /** Returns whether each id follows the previous one without a gap, starting after [last]. */
     private fun areConsecutive(last: Long?, ids: List<Long?>): Boolean {
         val before = listOf(last) + ids.dropLast(1)
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/relay/RelayedStream.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/relay/RelayedStream.kt
@@ -15,6 +15,8 @@
  *   the stream: its answer ends with its connection, so that the end can't be told from a crash, or
  *   it is to go on with a stream that has begun, of which an empty answer tells nothing.
  * @property softwareVersion the version of the software at the upstream of [currentAttempt].
+ * @property isForwarded whether [currentAttempt] was sent to another node, so that the version is
+ *   unknown unless the stream had begun before.
  * @property origin where the stream may go on.
  * @property isOpen whether the head of the answer was sent to the caller.
  */
@@ -25,6 +27,7 @@
     val partialEvent: Body = Body.EMPTY,
     val mustBringEvent: Boolean = false,
     val softwareVersion: String? = null,
+    val isForwarded: Boolean = false,
     val origin: StreamOrigin = StreamOrigin.NotBegun,
     val isOpen: Boolean = false,
 )
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/http/TestProtocol.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/http/TestProtocol.kt
@@ -29,6 +29,9 @@
         isMisdirected = false,
     )
 
+    override fun readForwardedHead(status: Int, headers: List<Header>) =
+        readAnswerHead(status, headers)
+
     override fun readEngineReport(body: Body): EngineReport? = body.text()
         .takeIf { it.startsWith("m:") }
         ?.let { EngineReport(persistentSetOf(it.drop(2)), startedAtMillis = null) }
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/PlacementRun.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/PlacementRun.kt
@@ -26,6 +26,7 @@
             it is PlacementAction.UpstreamStatusChanged ||
                 it is PlacementAction.RetryRefused ||
                 it is PlacementAction.CrashRecorded ||
+                it is PlacementAction.IsolationChanged ||
                 it is PlacementAction.PartBlocked ||
                 it is PlacementAction.PartReleased
         }.map(::describe)
@@ -73,6 +74,7 @@
         is PlacementAction.Probe -> "probe ${action.upstream.id.value}"
         is PlacementAction.Identify -> "identify ${action.id.value}"
         is PlacementAction.UpstreamStatusChanged -> action.status
+        is PlacementAction.IsolationChanged -> "isolated ${action.isIsolated}"
         is PlacementAction.CrashRecorded -> "crashes ${action.crashCount}"
         is PlacementAction.PartBlocked -> "blocked ${action.part.value}"
         is PlacementAction.PartReleased -> "released ${action.part.value}"
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/SoftwareVersionTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/SoftwareVersionTest.kt
@@ -155,7 +155,7 @@
             }
         }
 
-        // Guards against streams that are on their way when they can't be recorded any more (ORDER).
+        // Guards against streams that are on their way when they can no longer be recorded (ORDER).
         context("a stream that was sent to v2 moves to v1") {
             withData(
                 MoveCase("if it is not recorded", actions = listOf("cancel 1", "send a")),
