Count the runs that another node may make for a forwarded call

Cause: a forwarded call that failed at every upstream of the other node counted as one run here, and was forwarded to a third node. Class: a limit that each of two parties keeps for itself.

A forwarded call, but for streams, takes all the runs that its route has left, and gives them back if the other node refuses it as not run. A stream takes one.

Evidence: the table 'a call that comes back from the node that it was forwarded to'; on the former logic its first and third cases went to n2.

--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/AnswerHandling.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/AnswerHandling.kt
@@ -115,7 +115,7 @@
     ): Step<PlacementState, PlacementAction> {
         val remaining = call.copy(
             attempts = call.attempts.remove(attempt.number),
-            possibleRuns = call.possibleRuns - 1,
+            possibleRuns = call.possibleRuns - attempt.possibleRuns,
         )
         return lossRecovery.continueCall(state.withAttemptCounted(attempt, -1), remaining, now, why)
     }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/Attempt.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/Attempt.kt
@@ -11,6 +11,7 @@
  * @property hasEvents whether an event of its stream has been received.
  * @property isRetry whether it was counted as a retry in the retry budget.
  * @property softwareVersion the version of the upstream's software; null if unknown.
+ * @property possibleRuns how many upstreams may run the call for this attempt.
  * @property isForwarded whether it was sent to another node, which sends it to an upstream.
  * @property backup the upstream that receives a copy of its KV cache, if any.
  */
@@ -23,6 +24,7 @@
     val hasEvents: Boolean = false,
     val isRetry: Boolean = false,
     val softwareVersion: String? = null,
+    val possibleRuns: Int = 1,
     val isForwarded: Boolean = false,
     val backup: UpstreamId? = null,
 )
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/Forwarding.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/Forwarding.kt
@@ -4,6 +4,7 @@
 import kotlin.time.Duration
 import kotlinx.collections.immutable.persistentListOf
 import org.bilberrycart.gateway.model.AttemptKey
+import org.bilberrycart.gateway.model.RetryRule
 import org.bilberrycart.pipeline.Step
 
 /**
@@ -42,6 +43,7 @@
             upstream = peer.id,
             sentAt = now,
             softwareVersion = entry.softwareVersion,
+            possibleRuns = possibleRuns(call),
             isForwarded = true,
         )
         val order = SendOrder(
@@ -59,7 +61,7 @@
             attempts = call.attempts.put(attempt.number, attempt),
             dispatches = call.dispatches + 1,
             possibleArrivals = call.possibleArrivals + 1,
-            possibleRuns = call.possibleRuns + 1,
+            possibleRuns = call.possibleRuns + attempt.possibleRuns,
             triedUpstreams = call.triedUpstreams.add(peer.id),
             usedAddresses = call.usedAddresses.add(entry.address),
             kvCacheCopy = null,
@@ -71,6 +73,13 @@
         )
     }
 
+    /** Returns how many upstreams the other node may try; a stream rarely needs more than one. */
+    private fun possibleRuns(call: ActiveCall): Int = when (call.call.route.retryRule) {
+        is RetryRule.Stream -> 1
+        RetryRule.Idempotent, RetryRule.AtMostOnce ->
+            maxOf(call.call.route.maxAttempts - call.possibleRuns, 1)
+    }
+
     private companion object {
         /** Attempts of a call that found no connection, from which on it is forwarded. */
         const val MAX_UNSENT = 2
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/LossRecovery.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/LossRecovery.kt
@@ -63,7 +63,7 @@
         val remaining = call.copy(
             attempts = call.attempts.remove(attempt.number),
             possibleArrivals = call.possibleArrivals - 1,
-            possibleRuns = call.possibleRuns - 1,
+            possibleRuns = call.possibleRuns - attempt.possibleRuns,
         )
         val counted = state.withAttemptCounted(attempt, -1)
         val refunded = retryBudgets.refund(counted, remaining, attempt)
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/ForwardingTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/ForwardingTest.kt
@@ -48,6 +48,12 @@
     override fun dataTestName(): String = name
 }
 
+/** The other node's [answer]; null if the connection to it breaks. */
+private data class ReturnCase(val name: String, val answer: Int?, val actions: List<String>) :
+    WithDataTestName {
+    override fun dataTestName(): String = name
+}
+
 private const val ATTEMPTS = 3
 private val stream = RetryRule.Stream(isResumable = true)
 
@@ -157,6 +163,28 @@
             }
         }
 
+        // Guards against a call that runs at more upstreams than its route allows (BUDGET).
+        context("a call that comes back from the node that it was forwarded to") {
+            withData(
+                ReturnCase("that failed everywhere", answer = 500, listOf("deliver 500")),
+                ReturnCase("that was refused", answer = 503, listOf("send node n2:80")),
+                ReturnCase("with its connection", answer = null, listOf("refuse broken")),
+            ) { case ->
+                val run = newRun(peers = listOf("n1:80"))
+                run.submit(RetryRule.Idempotent)
+                (1..2).forEach { run.step(PlacementEvent.Unsent(attempt(it), "no connection")) }
+                run.hear(listOf("n1:80", "n2:80"))
+                val event = when (case.answer) {
+                    null -> PlacementEvent.AttemptFailed(attempt(3), "reset")
+                    else -> PlacementEvent.Answered(
+                        attempt(3),
+                        Samples.answer(case.answer, didNotRun = case.answer == 503),
+                    )
+                }
+                run.step(event) shouldBe case.actions
+            }
+        }
+
         // Guards against a node that takes the loss of its own links for that of the upstreams.
         test("a node that has lost several upstreams and hears none forwards new calls at once") {
             val run = newRun(peers = listOf("n1:80"))
