--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/CrashRecords.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/CrashRecords.kt
@@ -22,7 +22,7 @@
     private val rings: GatewayRings,
     duties: DutyFactory,
     private val records: RecordStore,
-    private val log: DecisionLog,
+    private val log: StoreLog,
     private val clock: Clock,
     private val placementState: () -> PlacementState,
 ) : AutoCloseable {
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DecisionLog.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DecisionLog.kt
@@ -2,20 +2,14 @@
 
 import java.util.Locale
 import kotlin.time.Duration
-import org.bilberrycart.gateway.crashes.CrashRecordsAction
-import org.bilberrycart.gateway.discovery.ConfigurationRow
-import org.bilberrycart.gateway.discovery.DiscoveryAction
-import org.bilberrycart.gateway.discovery.StoreRow
 import org.bilberrycart.gateway.entry.EntryAction
 import org.bilberrycart.gateway.lifecycle.LifecycleAction
 import org.bilberrycart.gateway.model.CallHead
 import org.bilberrycart.gateway.model.RoutedCall
-import org.bilberrycart.gateway.origins.OriginsAction
 import org.bilberrycart.gateway.peers.PeersAction
 import org.bilberrycart.gateway.placement.ActiveCall
 import org.bilberrycart.gateway.placement.PlacementAction
 import org.bilberrycart.gateway.placement.SendOrder
-import org.bilberrycart.gateway.records.RecordTable
 import org.bilberrycart.gateway.relay.RelayAction
 import org.bilberrycart.gateway.watch.ExchangeWatchAction
 import org.slf4j.LoggerFactory
@@ -32,7 +26,7 @@
     fun entry(action: EntryAction) = when (action) {
         is EntryAction.Forward -> log.info(
             "event=accepted request={} route={} service={} organisation={} configuration={} " +
-                "continues={} last_event={} prompt_parts={}",
+                "continues={} last_event={} forwarded={} prompt_parts={}",
             action.call.head.requestId,
             action.call.route.name,
             action.call.service.name.value,
@@ -40,6 +34,7 @@
             action.version,
             action.call.head.continuedRequest,
             action.call.head.lastEvent,
+            action.call.head.earlierArrivals != null,
             partsText(action.call.head),
         )
         is EntryAction.Refuse -> log.info(
@@ -175,65 +170,12 @@
         (now - action.call.arrivedAt).inWholeMilliseconds,
     )
 
-    fun storeStatus(action: DiscoveryAction.StoreStatusChanged) = log.info(
-        "event=store_{} table={} cause=\"{}\"",
-        if (action.isAvailable) "back" else "lost",
-        action.table,
-        action.cause,
-    )
-
-    fun storeCallGivenUp(action: DiscoveryAction.GiveUp) = log.warn(
-        "event=store_call_given_up table={} call={} age_ms={}",
-        action.table,
-        action.call,
-        action.age.inWholeMilliseconds,
-    )
-
-    fun versionDisproved(action: DiscoveryAction.VersionDisproved) = log.warn(
-        "event=table_version_disproved table={} version={}",
-        action.table,
-        action.version,
-    )
-
-    fun storeEraChanged(action: DiscoveryAction.EraChanged) = log.warn(
-        "event=store_era_changed table={} version={} known_version={}",
-        action.table,
-        action.version,
-        action.known,
-    )
-
-    fun tableRead(action: DiscoveryAction.Publish, unreadable: List<String>) = log.info(
-        "event=table_read table={} version={} rows={} unreadable={} first_unreadable={}",
-        action.table,
-        action.version,
-        action.rows.size,
-        unreadable.size,
-        unreadable.take(MAX_LOGGED_ROWS),
-    )
-
-    fun configurationUnreadable(row: StoreRow) =
-        log.warn("event=configuration_unreadable row_version={}", row.version)
-
-    fun configurationIncomplete(row: ConfigurationRow.Read) = log.warn(
-        "event=configuration_incomplete version={} left_out={} first_left_out={}",
-        row.configuration.version,
-        row.leftOut.size,
-        row.leftOut.take(MAX_LOGGED_ROWS),
-    )
-
     fun peerStatus(action: PeersAction.PeerStatusChanged) = log.info(
         "event=peer_{} peer={}",
         if (action.isAlive) "heard" else "silent",
         action.address,
     )
 
-    fun tableRequested(action: DiscoveryAction.AskPeer, outcome: String) = log.info(
-        "event=table_from_peer table={} peer={} outcome=\"{}\"",
-        action.table,
-        action.address,
-        outcome,
-    )
-
     /** Logs one line for all [action] ends, which names the first of them. */
     fun unownedCallsEnded(action: ExchangeWatchAction.EndUnowned) = log.warn(
         "event=unowned_calls_ended calls={} first_calls={}",
@@ -241,32 +183,6 @@
         action.calls.take(MAX_LOGGED_CALLS).map { it.number },
     )
 
-    fun originFound(action: OriginsAction.Found) = log.info(
-        "event=stream_origin call={} origin={}",
-        action.call.number,
-        action.origin,
-    )
-
-    fun recordingChanged(action: OriginsAction.RecordingChanged) = log.info(
-        "event=stream_recording_{}",
-        if (action.isRecording) "begun" else "ended",
-    )
-
-    fun versionsLimited(action: OriginsAction.BeginOnlyAt) = log.info(
-        "event=stream_versions_limited versions={}",
-        action.versions.entries.joinToString(",") { (name, version) -> "${name.value}:$version" },
-    )
-
-    fun recordCallFailed(table: RecordTable, call: String, cause: String) =
-        log.warn("event=records_failed table={} call={} cause=\"{}\"", table, call, cause)
-
-    fun crashesRecalled(action: CrashRecordsAction.Found) = log.info(
-        "event=crashes_recalled records={} contents={} blocked_parts={}",
-        action.known.size,
-        action.known.flatMap { it.calls.keys }.distinct().size,
-        action.known.flatMap { it.parts.blockedAges.keys }.distinct().size,
-    )
-
     fun lifecycle(action: LifecycleAction) = log.info("event=lifecycle action=\"{}\"", action)
 
     private fun attemptSent(order: SendOrder, why: String) = log.info(
@@ -293,7 +209,6 @@
 
     private companion object {
         const val MAX_LOGGED_PARTS = 8
-        const val MAX_LOGGED_ROWS = 4
         const val MAX_LOGGED_CALLS = 8
         val log = LoggerFactory.getLogger(DecisionLog::class.java)
     }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DiscoverySink.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/DiscoverySink.kt
@@ -32,7 +32,7 @@
     private val rows: RowReader,
     private val scheduler: Scheduler,
     private val metrics: GatewayMetrics,
-    private val log: DecisionLog,
+    private val log: StoreLog,
     private val askPeer: (DiscoveryAction.AskPeer) -> Unit,
 ) : (DiscoveryAction) -> Unit {
     private var upstreams = RowCache()
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/GatewayNode.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/GatewayNode.kt
@@ -56,6 +56,7 @@
 ) : AutoCloseable {
     private val clock = Clock()
     private val log = DecisionLog(settings.node)
+    private val storeLog = StoreLog()
     private val stopped = CountDownLatch(1)
 
     @Volatile private var isReady = false
@@ -128,7 +129,7 @@
             rows,
             storeScheduler,
             metrics,
-            log,
+            storeLog,
             ::askPeer,
         ),
     )
@@ -152,6 +153,7 @@
         ::onThreadEnded,
         client,
         log,
+        storeLog,
         placement = { rings.placement.put(it) },
         discovery = { rings.discovery.put(it) },
         placementState = { placement.snapshot },
@@ -167,26 +169,17 @@
         clock,
         placementState = { placement.snapshot },
     )
-    private val streamOrigins = StreamOrigins(
+    private val nodeRecords = NodeRecords(
         settings,
         rings,
         duties,
         records,
         metrics,
-        log,
+        storeLog,
         clock,
         placementState = { placement.snapshot },
         discoveryState = { discovery.snapshot },
     )
-    private val crashRecords = CrashRecords(
-        settings,
-        rings,
-        duties,
-        records,
-        log,
-        clock,
-        placementState = { placement.snapshot },
-    )
     private val idlePeriods = IdlePeriods(IDLE_TICKS)
     private val ticker = Ticker(
         TICK,
@@ -201,9 +194,7 @@
             ) { DiscoveryEvent.Tick },
             peerLinks.tickTarget,
             exchangeWatch.tickTarget,
-            streamOrigins.tickTarget,
-            crashRecords.tickTarget,
-        ),
+        ) + nodeRecords.tickTargets,
         onEnded = { onThreadEnded("timer") },
     )
     private val httpServer: GatewayHttpServer = GatewayHttpServer(
@@ -242,8 +233,7 @@
         listOf(entry, placement, relay, discovery, lifecycle).forEach { it.start() }
         peerLinks.start()
         exchangeWatch.start()
-        streamOrigins.start()
-        crashRecords.start()
+        nodeRecords.start()
         rings.discovery.put(DiscoveryEvent.Start)
         ticker.start()
         httpServer.start()
@@ -268,8 +258,7 @@
         rings.close()
         peerLinks.close()
         exchangeWatch.close()
-        streamOrigins.close()
-        crashRecords.close()
+        nodeRecords.close()
         listOf(entry, placement, relay, discovery, lifecycle).forEach { it.close() }
         storeScheduler.stop()
         client.stop()
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/PeerLinks.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/PeerLinks.kt
@@ -33,6 +33,7 @@
     private val onThreadEnded: (name: String) -> Unit,
     private val client: HttpClient,
     private val log: DecisionLog,
+    private val storeLog: StoreLog,
     private val placement: (PlacementEvent) -> Unit,
     private val discovery: (DiscoveryEvent) -> Unit,
     private val placementState: () -> PlacementState,
@@ -80,7 +81,7 @@
             .send(object : WholeAnswerListener(MAX_TABLE_BYTES) {
                 override fun onComplete(result: Result) {
                     val copy = content?.takeIf { result.isSucceeded }?.let(GossipCodec::decodeTable)
-                    log.tableRequested(
+                    storeLog.tableRequested(
                         action,
                         copy?.let { "version ${it.version}" } ?: "${result.failure}",
                     )
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/StreamOrigins.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/StreamOrigins.kt
@@ -29,7 +29,7 @@
     duties: DutyFactory,
     private val records: RecordStore,
     private val metrics: GatewayMetrics,
-    private val log: DecisionLog,
+    private val log: StoreLog,
     private val clock: Clock,
     private val placementState: () -> PlacementState,
     private val discoveryState: () -> DiscoveryState,
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/origins/OriginsFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/origins/OriginsFilter.kt
@@ -3,12 +3,10 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
-import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.persistentSetOf
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.collections.immutable.toPersistentMap
-import kotlinx.collections.immutable.toPersistentSet
 import org.bilberrycart.gateway.model.StreamOrigin
 import org.bilberrycart.gateway.records.RecordReply
 import org.bilberrycart.pipeline.Filter
@@ -39,7 +37,7 @@
         is OriginsEvent.Sought -> sought(state, event, now)
         is OriginsEvent.VersionsListed -> changeServices(state, now) { listed(it, event, now) }
         is OriginsEvent.ReadReplied -> readReplied(state, event, now)
-        is OriginsEvent.WriteReplied -> Step(writeReplied(state, event, now))
+        is OriginsEvent.WriteReplied -> Step(OriginWrites.replied(state, event, now))
         is OriginsEvent.Tick -> tick(state, event, now)
     }
 
@@ -169,23 +167,6 @@
             .then { if (waiting.isEmpty()) Step(it) else read(it, now) }
     }
 
-    private fun writeReplied(
-        state: OriginsState,
-        event: OriginsEvent.WriteReplied,
-        now: Duration,
-    ): OriginsState {
-        if (event.call != state.writingCall) return state
-        return when (val reply = event.reply) {
-            is RecordReply.Written -> OriginRecords.withWritten(state, now, reply.storeMillis)
-            is RecordReply.Failed, is RecordReply.Page -> state.copy(
-                writingCall = null,
-                hasNewVersions = true,
-                unwritten = state.unwritten.addAll(state.writing),
-                writing = persistentSetOf(),
-            )
-        }
-    }
-
     private fun tick(
         state: OriginsState,
         event: OriginsEvent.Tick,
@@ -195,34 +176,8 @@
         OriginRecords.withoutOld(it.copy(services = services.toPersistentMap()), now)
     }.then { refuseLate(it, now) }
         .then { readAgain(it, now) }
-        .then { write(it, event.peers, now) }
-        .then { limitVersions(it, event.peers, now) }
-
-    /**
-     * Lets streams begin only at the version that is inferred for those without a record, for as
-     * long as they can't be recorded.
-     */
-    private fun limitVersions(
-        state: OriginsState,
-        peers: Int,
-        now: Duration,
-    ): Step<OriginsState, OriginsAction> {
-        val isRecorded = state.unwritten.isEmpty() && state.writing.isEmpty()
-        val current = if (isRecorded) state.copy(recordedUntil = now) else state
-        val limit = writeInterval(peers) * 2 + MAX_WRITE_TIME
-        val isBehind = now - current.recordedUntil > limit
-        val versions = state.services.filterValues { isBehind && it.isMixed(now) }
-            .mapNotNull { (name, known) -> known.unrecordedVersion(now)?.let { name to it } }
-            .toMap().toPersistentMap()
-        return when (versions) {
-            state.beginOnlyAt -> Step(current)
-            else -> current.copy(beginOnlyAt = versions)
-                .withActions(OriginsAction.BeginOnlyAt(versions, current.recordedUntil))
-        }
-    }
-
-    private fun writeInterval(peers: Int): Duration =
-        maxOf(WRITE_INTERVAL, WRITE_INTERVAL_PER_PEER * peers)
+        .then { OriginWrites.writeIfDue(it, event.peers, now) }
+        .then { OriginWrites.limitVersions(it, event.peers, now) }
 
     private fun ticked(
         state: OriginsState,
@@ -248,59 +203,16 @@
 
     private fun readAgain(state: OriginsState, now: Duration): Step<OriginsState, OriginsAction> {
         val isNeeded = !state.hasRead || state.seekers.isNotEmpty()
-        val interval = if (state.reading == null) READ_INTERVAL else MAX_CALL_TIME
+        val interval = if (state.reading == null) READ_INTERVAL else OriginWrites.MAX_CALL_TIME
         val isDue = now - state.readAt >= interval
         return if (isNeeded && isDue) read(state.copy(reading = null), now) else Step(state)
     }
 
-    private fun write(
-        state: OriginsState,
-        peers: Int,
-        now: Duration,
-    ): Step<OriginsState, OriginsAction> {
-        val storeMillis = state.storeMillis(now) ?: return Step(state)
-        val isOverdue = state.writingCall != null && now - state.writtenAt >= MAX_CALL_TIME
-        val isFree = state.writingCall == null || isOverdue
-        val interval = writeInterval(peers)
-        val hasNews = state.unwritten.isNotEmpty() || state.hasNewVersions
-        val isDue = now - state.writtenAt >= if (hasNews) interval else SERVICE_INTERVAL
-        if (!state.isRecording(now) || !isFree || !isDue) return Step(state)
-        val segments = state.unwritten.addAll(if (isOverdue) state.writing else emptySet())
-        val call = state.lastCall + 1
-        val batch = segments.take(MAX_SEGMENTS).toPersistentSet()
-        val write =
-            OriginRecords.write(state.copy(unwritten = batch, lastCall = call), now, storeMillis)
-        val next = state.copy(
-            lastCall = call,
-            writingCall = call,
-            writtenAt = now,
-            hasNewVersions = false,
-            unwritten = segments.removeAll(batch),
-            writing = batch,
-            staleKeys = state.staleKeys.removeAll(write.removals),
-        )
-        return Step(next, persistentListOf(write))
-    }
-
     private companion object {
         const val MAX_ID_LENGTH = 64
 
-        /** Segments in one write, whose number of records the store limits. */
-        const val MAX_SEGMENTS = 16
-
         /** How long a caller's stream may wait for the store. */
         val MAX_WAIT = 2.seconds
-        val MAX_CALL_TIME = 1.seconds
         val READ_INTERVAL = 200.milliseconds
-
-        /** A write of a store that answers takes less. */
-        val MAX_WRITE_TIME = 100.milliseconds
-
-        /** The first event of a stream takes longer than this and the write. */
-        val WRITE_INTERVAL = 200.milliseconds
-        val WRITE_INTERVAL_PER_PEER = 10.milliseconds
-
-        /** How often the records of services are written anew. */
-        val SERVICE_INTERVAL = 5.seconds
     }
 }
--- /dev/null
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/origins/SeekCase.kt
@@ -0,0 +1,32 @@
+package org.bilberrycart.gateway.origins
+
+import io.kotest.engine.names.WithDataTestName
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * A caller resumes the stream [sought] at node "b" after [happenings].
+ *
+ * @property version the version that the node finds.
+ */
+internal data class SeekCase(
+    val name: String,
+    val sought: String = "r1",
+    val wait: Duration = Duration.ZERO,
+    val version: String,
+    val happenings: OriginsFleet.() -> Unit,
+) : WithDataTestName {
+    override fun dataTestName(): String = name
+}
+
+/** Longer than it takes to record streams. */
+internal val flushTime = 500.milliseconds
+
+/** Starts two nodes with the version v1 for a while. */
+internal fun OriginsFleet.begin() {
+    start("a")
+    start("b")
+    list("v1")
+    pass(1.seconds)
+}
