Forward a call to two other nodes at most

Found by reading: while a service is down for all, a call went from one other node to the next, each of which held it for as long as calls may wait. Two are enough to outlast one that has just ended. The case 'refused twice' of ForwardingTest failed before.

--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/ActiveCall.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/ActiveCall.kt
@@ -32,6 +32,7 @@
  * @property rejectedAt when the last of them did; null before.
  * @property origin where the call may be sent, if it is a stream that has begun.
  * @property unsentAttempts how many attempts didn't reach their upstream, for want of a connection.
+ * @property forwards how often the call was forwarded to another node.
  * @property isTakenFromSilent whether an attempt was given up since its upstream was silent, which
  *   may have gone on.
  */
@@ -53,6 +54,7 @@
     val rejectedAt: Duration? = null,
     val origin: StreamOrigin = StreamOrigin.NotBegun,
     val unsentAttempts: Int = 0,
+    val forwards: Int = 0,
     val isTakenFromSilent: Boolean = false,
 ) {
     /** Whether the call has no attempt in progress and waits for an upstream. */
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/Forwarding.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/Forwarding.kt
@@ -22,7 +22,8 @@
     ): ForwardingPeer? {
         val isCutOff =
             state.isIsolated || call.unsentAttempts >= MAX_UNSENT || selector.areAllDown
-        if (call.call.head.earlierArrivals != null || !isCutOff) return null
+        val mayForward = call.call.head.earlierArrivals == null && call.forwards < MAX_FORWARDS
+        if (!mayForward || !isCutOff) return null
         return state.forwardingPeers
             .filter { call.call.service.name !in it.unreached && it.id !in call.triedUpstreams }
             .randomOrNull(Random(state.seed))
@@ -60,6 +61,7 @@
         val next = call.copy(
             attempts = call.attempts.put(attempt.number, attempt),
             dispatches = call.dispatches + 1,
+            forwards = call.forwards + 1,
             possibleArrivals = call.possibleArrivals + 1,
             possibleRuns = call.possibleRuns + attempt.possibleRuns,
             triedUpstreams = call.triedUpstreams.add(peer.id),
@@ -80,8 +82,12 @@
             maxOf(call.call.route.maxAttempts - call.possibleRuns, 1)
     }
 
-    private companion object {
+    /** Holds a limit. */
+    companion object {
         /** Attempts of a call that found no connection, from which on it is forwarded. */
         const val MAX_UNSENT = 2
+
+        /** A service that two other nodes can't serve is likely to be down. */
+        private const val MAX_FORWARDS = 2
     }
 }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/LossRecovery.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/LossRecovery.kt
@@ -36,9 +36,9 @@
             }
     }
 
-    /** Returns what an attempt that was never sent counts; one that waited for long, all. */
+    /** Returns what an attempt that was never sent counts; one that hung is enough to forward. */
     private fun unsentCount(attempt: Attempt, now: Duration): Int =
-        if (now - attempt.sentAt >= LONG_CONNECT) 2 else 1
+        if (now - attempt.sentAt >= LONG_CONNECT) Forwarding.MAX_UNSENT else 1
 
     /** Sends a stream to an upstream of the software version that has begun it meanwhile. */
     fun begunElsewhere(
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/ForwardingTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/placement/ForwardingTest.kt
@@ -48,9 +48,17 @@
     override fun dataTestName(): String = name
 }
 
-/** The other node's [answer]; null if the connection to it breaks. */
-private data class ReturnCase(val name: String, val answer: Int?, val actions: List<String>) :
-    WithDataTestName {
+/**
+ * The other node's [answer]; null if the connection to it breaks.
+ *
+ * @property isLast whether a second node has refused it as well.
+ */
+private data class ReturnCase(
+    val name: String,
+    val answer: Int?,
+    val actions: List<String>,
+    val isLast: Boolean = false,
+) : WithDataTestName {
     override fun dataTestName(): String = name
 }
 
@@ -168,20 +176,27 @@
             withData(
                 ReturnCase("that failed everywhere", answer = 500, listOf("deliver 500")),
                 ReturnCase("that was refused", answer = 503, listOf("send node n2:80")),
+                ReturnCase("refused twice", 503, actions = listOf("upstream"), isLast = true),
                 ReturnCase("with its connection", answer = null, listOf("refuse broken")),
             ) { case ->
                 val run = newRun(peers = listOf("n1:80"))
                 run.submit(RetryRule.Idempotent)
                 (1..2).forEach { run.step(PlacementEvent.Unsent(attempt(it), "no connection")) }
-                run.hear(listOf("n1:80", "n2:80"))
+                run.hear(listOf("n1:80", "n2:80", "n3:80").take(if (case.isLast) 3 else 2))
+                fun refused(number: Int) = PlacementEvent.Answered(
+                    attempt(number),
+                    Samples.answer(503, didNotRun = true),
+                )
                 val event = when (case.answer) {
                     null -> PlacementEvent.AttemptFailed(attempt(3), "reset")
-                    else -> PlacementEvent.Answered(
-                        attempt(3),
-                        Samples.answer(case.answer, didNotRun = case.answer == 503),
-                    )
+                    503 -> refused(3)
+                    else -> PlacementEvent.Answered(attempt(3), Samples.answer(case.answer))
+                }
+                val actions = run.step(event)
+                when {
+                    case.isLast -> run.step(refused(4)).targets() shouldBe case.actions
+                    else -> actions shouldBe case.actions
                 }
-                run.step(event) shouldBe case.actions
             }
         }
 
