Take back records of crashes that answers have cleared

Found by reading the new duty: a node wrote nothing once it knew of no crashes any more, so that its record told of cleared contents and released parts for ten minutes after all nodes had been killed. It also read the records every 1.5 s for as long as a node was missing, which may have left for good.

The record is written whenever it differs from what is known, and a node that has been missing for a minute is looked for every 20 s. Evidence: the case 'but nothing that has been cleared' and 'a node that misses another one for long reads less often' of CrashRecordsFilterTest.

--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/crashes/CrashRecordsFilter.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/crashes/CrashRecordsFilter.kt
@@ -30,20 +30,27 @@
         now: Duration,
     ): Step<CrashRecordsState, CrashRecordsAction> = when (event) {
         is CrashRecordsEvent.Tick ->
-            readIfDue(state, event.isPeerMissing, now).then { writeIfDue(it, event.known, now) }
+            readIfDue(ticked(state, event, now), now).then { writeIfDue(it, event.known, now) }
         is CrashRecordsEvent.ReadReplied -> readReplied(state, event, now)
         is CrashRecordsEvent.WriteReplied -> Step(writeReplied(state, event, now))
     }
 
+    private fun ticked(
+        state: CrashRecordsState,
+        event: CrashRecordsEvent.Tick,
+        now: Duration,
+    ): CrashRecordsState = state.copy(
+        missingSince = if (event.isPeerMissing) state.missingSince ?: now else null,
+    )
+
     private fun readIfDue(
         state: CrashRecordsState,
-        isPeerMissing: Boolean,
         now: Duration,
     ): Step<CrashRecordsState, CrashRecordsAction> {
         val interval = when {
             state.reading != null -> MAX_CALL_TIME
             !state.hasRead -> FIRST_READ_INTERVAL
-            isPeerMissing -> MISSING_PEER_INTERVAL
+            state.missingSince != null -> missingPeerInterval(now - state.missingSince)
             state.found.isNotEmpty() -> EXPIRY_INTERVAL
             else -> Duration.INFINITE
         }
@@ -52,6 +59,10 @@
         return read(state.copy(readAt = now, page = persistentListOf()), from = null)
     }
 
+    /** Returns how often to read; a node that is missing for long has probably left for good. */
+    private fun missingPeerInterval(missing: Duration): Duration =
+        if (missing < LONG_MISSING) MISSING_PEER_INTERVAL else LONG_MISSING_INTERVAL
+
     private fun read(
         state: CrashRecordsState,
         from: String?,
@@ -112,7 +123,7 @@
         now: Duration,
     ): Step<CrashRecordsState, CrashRecordsAction> {
         val offset = state.storeClockOffset ?: return Step(state)
-        val isKnown = known.isEmpty || known.hasSameSubjects(state.written)
+        val isKnown = known.hasSameSubjects(state.written)
         val interval = if (state.writing == null) WRITE_INTERVAL else MAX_CALL_TIME
         val isDue = state.writtenAt == null || now - state.writtenAt >= interval
         if (isKnown || !isDue) return Step(state)
@@ -150,6 +161,8 @@
         val MAX_CALL_TIME = 1.seconds
         val FIRST_READ_INTERVAL = 200.milliseconds
         val MISSING_PEER_INTERVAL = 1500.milliseconds
+        val LONG_MISSING = 1.minutes
+        val LONG_MISSING_INTERVAL = 20.seconds
 
         /** How often records that have been found are checked for their age. */
         val EXPIRY_INTERVAL = 1.minutes
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/crashes/CrashRecordsState.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/crashes/CrashRecordsState.kt
@@ -22,6 +22,7 @@
  * @property writtenAt when the last write began; null if none did.
  * @property written what the record of this process holds.
  * @property expiredKeys keys of records that nobody needs any more.
+ * @property missingSince since when a known node has not been heard; null if all are.
  * @property storeClockOffset the store's clock less this node's, in milliseconds; null if unknown.
  */
 public data class CrashRecordsState(
@@ -36,6 +37,7 @@
     val writtenAt: Duration? = null,
     val written: KnownCrashes = KnownCrashes(),
     val expiredKeys: PersistentSet<String> = persistentSetOf(),
+    val missingSince: Duration? = null,
     val storeClockOffset: Long? = null,
 ) {
     /** A write of [known] in the call with number [call]. */
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/crashes/CrashRecordsFilterTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/crashes/CrashRecordsFilterTest.kt
@@ -47,6 +47,11 @@
         known[process] = crashed
     }
 
+    /** Lets [process] see that its crashes have been cleared by answers. */
+    fun clear(process: String) {
+        known.remove(process)
+    }
+
     fun killAll() = states.clear()
 
     fun pass(time: Duration) {
@@ -148,6 +153,16 @@
                     isStoreAway = false
                     pass(1.seconds)
                 },
+                RecallCase("but nothing that has been cleared", listOf("[] {}")) {
+                    start("a")
+                    crash("a")
+                    pass(1.seconds)
+                    clear("a")
+                    pass(1.seconds)
+                    killAll()
+                    start("b")
+                    pass(1.seconds)
+                },
                 RecallCase("but not after ten minutes", told = emptyList()) {
                     start("a")
                     crash("a")
@@ -182,6 +197,17 @@
             run.calls shouldBe 1
         }
 
+        // Guards against calls of the store, which all nodes pay for, once a node has left.
+        test("a node that misses another one for long reads less often") {
+            val run = CrashRecordsRun().apply { start("a") }
+            run.isPeerMissing = true
+            run.pass(1.minutes)
+            val first = run.calls
+            run.pass(10.minutes)
+            (first in 35..45) shouldBe true
+            (run.calls - first in 25..35) shouldBe true
+        }
+
         test("records that nobody needs any more are removed") {
             val run = CrashRecordsRun().apply {
                 start("a")
