Call a node isolated only once it has lost three upstreams

Cause: with two upstreams listed, the loss of both counted as the loss of the node's links. Two upstreams may well fail together; calls are forwarded then all the same, since all upstreams of the service are down.

The test is unchanged and passes; ForwardingTest and ForwardedCallNodeTest (two upstreams) hold.

--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/Isolation.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/placement/Isolation.kt
@@ -36,7 +36,7 @@
         val views = state.upstreams.values.filterNot { it.isLeaving || it.isReplaced }
         val heardAt = views.maxOfOrNull { it.lastSeenAt } ?: return false
         val lost = views.count { it.failures > 0 && it.failedAt >= heardAt }
-        return now - heardAt >= MIN_SILENCE && lost >= minOf(MIN_LOST, views.size)
+        return now - heardAt >= MIN_SILENCE && lost >= MIN_LOST
     }
 
     private fun probe(
