Share immutable maps between threads, and split the node's settings off

Three maps and a queue of main code were mutable collections: the open exchanges, the attempts in flight, the waits of a ring and the answers of a measurement. SharedMap keeps an immutable map behind a reference; of several threads that remove a value one gets it, which the open exchanges rely on (SharedMapTest).

The check of a resumed stream, which stood twice in tests, is SeekCase.check. No decision changed.

--- a/bench/src/main/kotlin/org/bilberrycart/bench/control/OutageMeasurement.kt
+++ b/bench/src/main/kotlin/org/bilberrycart/bench/control/OutageMeasurement.kt
@@ -1,6 +1,5 @@
 package org.bilberrycart.bench.control
 
-import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
@@ -29,6 +28,7 @@
 import org.bilberrycart.pipeline.Clock
 import org.bilberrycart.pipeline.Duty
 import org.bilberrycart.pipeline.Ring
+import org.bilberrycart.pipeline.SharedMap
 import org.bilberrycart.standins.platform.PlatformFaults
 import org.bilberrycart.standins.platform.PlatformStandIn
 import org.bilberrycart.store.HttpTableClient
@@ -48,7 +48,7 @@
     private val clock = Clock()
     private val ring = Ring<IdempotencyEvent>("idempotency", RING_CAPACITY)
     private val service = Executors.newSingleThreadScheduledExecutor()
-    private val answers = ConcurrentHashMap<RequestId, Answered>()
+    private val answers = SharedMap<RequestId, Answered>()
     private val remaining = CountDownLatch(CALLS)
     private val store = IdempotencyStore()
 
@@ -122,14 +122,14 @@
     }
 
     private fun figures(start: Duration): OutageFigures {
-        val timedAnswers = answers.entries.associate { (id, answer) ->
+        val timedAnswers = answers.current.entries.associate { (id, answer) ->
             val arrivedAt = id.value.substringBefore('-').toLong().let { it / NANOS_PER_MILLI }
             val arrivedAfter = arrivedAt.milliseconds - start
             id to TimedAnswer(answer.code, arrivedAfter, answer.at - arrivedAt.milliseconds)
         }.values
         return OutageFigures(
             calls = CALLS,
-            unanswered = CALLS - answers.size,
+            unanswered = CALLS - answers.current.size,
             beforeAndAfter =
             byCode(timedAnswers.filter { it.arrivedAfter !in OUTAGE_START..OUTAGE_END }),
             inOutage = byCode(timedAnswers.filter { it.arrivedAfter in OUTAGE_START..OUTAGE_END }),
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/http/OpenExchanges.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/http/OpenExchanges.kt
@@ -1,6 +1,5 @@
 package org.bilberrycart.gateway.http
 
-import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration.Companion.seconds
 import org.bilberrycart.gateway.model.AnswerHead
@@ -8,6 +7,7 @@
 import org.bilberrycart.gateway.model.CallKey
 import org.bilberrycart.gateway.model.Refusal
 import org.bilberrycart.gateway.model.UpstreamAnswer
+import org.bilberrycart.pipeline.SharedMap
 import org.eclipse.jetty.server.Request
 import org.eclipse.jetty.server.Response
 import org.eclipse.jetty.util.Callback
@@ -15,7 +15,7 @@
 
 /** The exchanges of calls whose answer is not complete, by key; each gets exactly one answer. */
 public class OpenExchanges(private val protocol: CallProtocol) {
-    private val exchanges = ConcurrentHashMap<CallKey, CallerExchange>()
+    private val exchanges = SharedMap<CallKey, CallerExchange>()
 
     private val unfinished = AtomicInteger()
 
@@ -38,13 +38,13 @@
 
     /** Whether no call waits for its answer; requests that are being read don't count. */
     internal val isEmpty: Boolean
-        get() = exchanges.isEmpty()
+        get() = exchanges.current.isEmpty()
 
     /** Returns the keys of the calls whose answers are not complete. */
-    internal fun openKeys(): Set<CallKey> = exchanges.keys.toSet()
+    internal fun openKeys(): Set<CallKey> = exchanges.current.keys
 
     /** Returns whether the answer to the call with [key] is not complete yet. */
-    public fun isOpen(key: CallKey): Boolean = exchanges.containsKey(key)
+    public fun isOpen(key: CallKey): Boolean = exchanges[key] != null
 
     /**
      * Returns whether the caller of the call with [key] still waits for its answer.
@@ -121,7 +121,7 @@
     }
 
     /** Aborts all open answers, for example because the node stops. */
-    public fun abortAll(why: String): Unit = exchanges.keys.forEach { key ->
+    public fun abortAll(why: String): Unit = exchanges.current.keys.forEach { key ->
         log.info("event=answer_cut call={} why=\"{}\"", key.number, why)
         abort(key, why)
     }
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/http/UpstreamClient.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/http/UpstreamClient.kt
@@ -5,7 +5,6 @@
 import java.net.InetSocketAddress
 import java.nio.ByteBuffer
 import java.util.concurrent.CancellationException
-import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicLong
 import java.util.concurrent.atomic.AtomicReference
@@ -21,6 +20,7 @@
 import org.bilberrycart.gateway.placement.PlacementEvent
 import org.bilberrycart.gateway.placement.SendOrder
 import org.bilberrycart.gateway.relay.RelayEvent
+import org.bilberrycart.pipeline.SharedMap
 import org.eclipse.jetty.client.BytesRequestContent
 import org.eclipse.jetty.client.HttpClient
 import org.eclipse.jetty.client.Request
@@ -42,7 +42,7 @@
     private val relay: (RelayEvent) -> Unit,
     private val limits: AnswerLimits = AnswerLimits(),
 ) {
-    private val attempts = ConcurrentHashMap<AttemptKey, SentAttempt>()
+    private val attempts = SharedMap<AttemptKey, SentAttempt>()
     private val probes = UpstreamProbes(client, protocol, placement)
 
     /** The bytes of all answers that are being received. */
@@ -50,7 +50,7 @@
 
     /** The number of attempts in flight. */
     val size: Int
-        get() = attempts.size
+        get() = attempts.current.size
 
     /**
      * Sends the call of [order] to its upstream.
@@ -103,7 +103,7 @@
 
     /** Ends the longest answer, which is the likeliest to have no end, and no other call. */
     private fun cancelLongest() {
-        attempts.values.maxByOrNull { it.keptBytes }
+        attempts.current.values.maxByOrNull { it.keptBytes }
             ?.cancel("all answers together are too long, this one most")
     }
 
--- a/gateway/src/main/kotlin/org/bilberrycart/gateway/node/GatewayNode.kt
+++ b/gateway/src/main/kotlin/org/bilberrycart/gateway/node/GatewayNode.kt
@@ -7,7 +7,6 @@
 import org.bilberrycart.gateway.discovery.DiscoveryAction
 import org.bilberrycart.gateway.discovery.DiscoveryEvent
 import org.bilberrycart.gateway.discovery.DiscoveryFilter
-import org.bilberrycart.gateway.discovery.DiscoverySettings
 import org.bilberrycart.gateway.discovery.DiscoveryState
 import org.bilberrycart.gateway.discovery.RowReader
 import org.bilberrycart.gateway.discovery.StoreClient
@@ -30,7 +29,6 @@
 import org.bilberrycart.gateway.model.RequestLimits
 import org.bilberrycart.gateway.placement.PlacementEvent
 import org.bilberrycart.gateway.placement.PlacementFilter
-import org.bilberrycart.gateway.placement.PlacementSettings
 import org.bilberrycart.gateway.placement.PlacementState
 import org.bilberrycart.gateway.records.RecordStore
 import org.bilberrycart.gateway.relay.RelayFilter
@@ -82,11 +80,7 @@
             EntryFilter(),
             EntrySink(rings, exchanges, log) { httpServer.setLimits(it) },
         )
-    private val placementSettings = PlacementSettings(
-        retryWindow = settings.repeatWindowSeconds.seconds,
-        retryRatio = settings.repeatRatio,
-        retrySlack = settings.repeatSlack,
-    )
+    private val placementSettings = settings.placementSettings()
     private val placement = duties.duty(
         rings.placement,
         PlacementState(seed = seed()),
@@ -116,11 +110,7 @@
         rings.discovery,
         DiscoveryState(),
         DiscoveryFilter(
-            DiscoverySettings(
-                maxFollowDelay = settings.drainMillis.milliseconds / FOLLOWS_PER_DRAIN,
-                applyTime = applyMillis().milliseconds,
-                contactTime = settings.contactMillis.milliseconds,
-            ),
+            settings.discoverySettings(),
             rows,
         ),
         DiscoverySink(
@@ -274,13 +264,6 @@
 
     private fun askPeer(action: DiscoveryAction.AskPeer): Unit = peerLinks.requestTable(action)
 
-    /** Returns the shortest time in which a change of any table has to be acted on. */
-    private fun applyMillis(): Long = minOf(
-        settings.applyMillis ?: settings.drainMillis,
-        settings.drainMillis,
-        settings.contactMillis,
-    )
-
     private fun parseAddress(text: String) = GatewayHttpServer.Address(
         text.substringBeforeLast(':'),
         text.substringAfterLast(':').toInt(),
@@ -297,8 +280,6 @@
         /** A duty without work gets one tick in this many. */
         const val IDLE_TICKS = 16
 
-        /** Upstreams that begin to leave are known well before they stop serving. */
-        const val FOLLOWS_PER_DRAIN = 3
         val UPSTREAM_IDLE = 10.seconds
     }
 }
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/origins/OriginsFilterTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/origins/OriginsFilterTest.kt
@@ -103,11 +103,7 @@
                     pass(flushTime)
                     isStoreAway = true
                 },
-            ) { case ->
-                val fleet = OriginsFleet()
-                case.happenings(fleet)
-                fleet.seek("b", case.sought, case.wait) shouldBe case.version
-            }
+            ) { it.check() }
         }
 
         // Guards against streams that are joined after all nodes were killed at once (ORDER).
@@ -164,11 +160,7 @@
                     pass(flushTime)
                     restartAll("v1", "v2")
                 },
-            ) { case ->
-                val fleet = OriginsFleet()
-                case.happenings(fleet)
-                fleet.seek("b", case.sought, case.wait) shouldBe case.version
-            }
+            ) { it.check() }
         }
 
         // Guards against calls of the store, which all nodes pay for, where nothing is unknown.
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/origins/OriginsOutageTest.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/origins/OriginsOutageTest.kt
@@ -67,11 +67,7 @@
                     isStoreAway = true
                     pass(1.seconds)
                 },
-            ) { case ->
-                val fleet = OriginsFleet()
-                case.happenings(fleet)
-                fleet.seek("b", case.sought, case.wait) shouldBe case.version
-            }
+            ) { it.check() }
         }
 
         // Guards against streams that no record names, whose version is inferred wrongly (ORDER).
--- a/gateway/src/test/kotlin/org/bilberrycart/gateway/origins/SeekCase.kt
+++ b/gateway/src/test/kotlin/org/bilberrycart/gateway/origins/SeekCase.kt
@@ -1,6 +1,7 @@
 package org.bilberrycart.gateway.origins
 
 import io.kotest.engine.names.WithDataTestName
+import io.kotest.matchers.shouldBe
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -18,6 +19,13 @@
     val happenings: OriginsFleet.() -> Unit,
 ) : WithDataTestName {
     override fun dataTestName(): String = name
+
+    /** Checks which version the node finds. */
+    fun check() {
+        val fleet = OriginsFleet()
+        happenings(fleet)
+        fleet.seek("b", sought, wait) shouldBe version
+    }
 }
 
 /** Longer than it takes to record streams. */
--- a/library/src/main/kotlin/org/bilberrycart/pipeline/Ring.kt
+++ b/library/src/main/kotlin/org/bilberrycart/pipeline/Ring.kt
@@ -6,6 +6,7 @@
 import kotlin.time.Duration
 import kotlin.time.TimeMark
 import kotlin.time.TimeSource
+import kotlinx.collections.immutable.persistentListOf
 
 /**
  * A bounded first-in first-out queue between two duties.
@@ -41,7 +42,7 @@
     private var longestWait = Duration.ZERO
 
     /** When each wait for room that still goes on began, the earliest first. */
-    private val pendingWaits = ArrayDeque<TimeMark>()
+    private var pendingWaits = persistentListOf<TimeMark>()
 
     init {
         require(capacity > 0) { "capacity of ring $name must be positive, got $capacity" }
@@ -120,11 +121,11 @@
     private fun awaitRoom(limit: Int) {
         val start = TimeSource.Monotonic.markNow()
         waits++
-        pendingWaits.add(start)
+        pendingWaits = pendingWaits.add(start)
         try {
             while (!closed && size >= limit) notFull.await()
         } finally {
-            pendingWaits.remove(start)
+            pendingWaits = pendingWaits.remove(start)
             longestWait = maxOf(longestWait, start.elapsed())
         }
     }
